--- /dev/null
+++ b/src/main/java/kestreldeal/net/Notices.java
@@ -0,0 +1,117 @@
+package kestreldeal.net;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * The notices that the platform must hear of, in the order owed. One request at a time is out, with as many of
+ * them as a body holds; what was not heard goes out again, since a notice that comes twice does no harm.
+ */
+final class Notices {
+    /** A body holds at most 64 KiB. */
+    private static final int MOST_BYTES = 60_000;
+    /** The agent answers at once; later than this its connection is taken for cut. */
+    private static final long SILENT_MS = 500;
+    private static final long PAUSE_MS = 100;
+
+    private final EventLoop loop;
+    private final Consumer<Held> heard;
+    private final JsonMapper json = JsonMapper.builder().build();
+    private final Deque<Held> waiting = new ArrayDeque<>();
+    /** What the request that is out tells; empty if none is. */
+    private List<Held> told = List.of();
+    private Agent agent;
+    private boolean pausing;
+
+    Notices(EventLoop loop, Agent agent, Consumer<Held> heard) {
+        this.loop = loop;
+        this.agent = agent;
+        this.heard = heard;
+    }
+
+    /** Tells the notice that this message owes, until it is heard. */
+    void owe(Held held) {
+        waiting.add(held);
+        tell();
+    }
+
+    /** Notices that are still to be heard. */
+    int owed() {
+        return waiting.size() + told.size();
+    }
+
+    /** Tells another agent from now on, also what the old one has not answered yet. */
+    void moveTo(Agent other) {
+        agent.close();
+        agent = other;
+        putBack();
+        tell();
+    }
+
+    private void tell() {
+        if (pausing || !told.isEmpty() || waiting.isEmpty()) {
+            return;
+        }
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        List<Held> batch = new ArrayList<>();
+        byte[] line = line(waiting.peek());
+        do {
+            body.writeBytes(line);
+            batch.add(waiting.remove());
+            line = waiting.isEmpty() ? line : line(waiting.peek());
+        } while (!waiting.isEmpty() && body.size() + line.length <= MOST_BYTES);
+        told = batch;
+        agent.ask(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/reports",
+                Unpooled.wrappedBuffer(body.toByteArray())), SILENT_MS, this::answered);
+    }
+
+    private void answered(Optional<FullHttpResponse> answer) {
+        if (answer.filter(a -> a.status().equals(HttpResponseStatus.NO_CONTENT)).isPresent()) {
+            List<Held> done = told;
+            told = List.of();
+            done.forEach(heard);
+            tell();
+            return;
+        }
+        putBack();
+        pausing = true;
+        loop.schedule(() -> {
+            pausing = false;
+            tell();
+        }, PAUSE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Oldest first, as before. */
+    private void putBack() {
+        for (int i = told.size() - 1; i >= 0; i--) {
+            waiting.addFirst(told.get(i));
+        }
+        told = List.of();
+    }
+
+    private byte[] line(Held held) {
+        Held.Notice notice = held.owed.orElseThrow();
+        ObjectNode line = json.createObjectNode().put("ref", held.id)
+                .put("result", notice.bounced() ? "bounced" : "dead");
+        if (notice.bounced() && notice.waitMs() > 0) {
+            line.put("wait_ms", (long) Math.ceil(notice.waitMs()));
+        }
+        return (line + "\n").getBytes(StandardCharsets.UTF_8);
+    }
+}
