Send the messages of one turn to one endpoint as one batch call

The module counts messages that it sends to one endpoint in one turn as one call: one slot and one send on the pace, up to the kind's batch. Endpoints sent each in a call of its own, so large partners got up to five times the calls that the pace meant, refused them, and each refusal cut the pace of calls that then carried one message. Messages waited out their time unsent.

Endpoints now gathers the calls of a turn in a Post, written when the turn is over; a call that ends early leaves the others out, and an answer to several that cannot be read counts as 'may have run' for each.

--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -26,7 +26,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
+import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -40,20 +42,23 @@
 import kestreldeal.Relay.Outcome;
 
 /**
- * Calls to endpoints and the connections that they go over: one call each, kept for the next, the newest
- * idle one first. Each call gets one end, never during the call of {@link #call} or {@link #cancel}.
+ * Calls to endpoints and the connections that they go over: one post each, kept for the next, the newest
+ * idle one first. The calls of one turn to one endpoint share a {@link Post}, up to what that takes in one.
+ * Each call gets one end, never during the call of {@link #call} or {@link #cancel}.
  */
 final class Endpoints {
     /** Idle connections are dropped at this share of the time after which an endpoint drops them. */
     private static final double IDLE_SHARE = 0.8;
     private static final long SWEEP_MS = 500;
-    /** An answer's body means nothing, and the protocol ends it here. */
-    private static final int LONGEST_ANSWER = 64 * 1024;
+    /** The protocol ends any body here, a request's and an answer's. */
+    private static final int LONGEST_BODY = 64 * 1024;
     /** From an answer's first byte to its last: one that takes longer is held to be spoilt. */
     private static final long ANSWER_MS = 1000;
     /** A connection rests for so long before its next call, lest what comes behind an answer be taken for one. */
     private static final long REST_MS = 10;
     private static final String TOLD_RATE = Params.TOLD_RATE + "=";
+    /** How one of several messages ended, in the answer to all. */
+    private static final Pattern END_LINE = Pattern.compile("([!-~]+) (accepted|fault|deferred|expired|no_more)");
     /** Longest wait that is believed: no message is held for so long. */
     private static final double LONGEST_WAIT_MS = 60_000;
 
@@ -92,13 +97,17 @@
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** An endpoint is at this address from now on; connections to another one are of no more use. */
-    void at(long endpoint, InetSocketAddress address, boolean serving) {
+    /**
+     * An endpoint is at this address from now on and takes so many messages in one post; connections to
+     * another address are of no more use.
+     */
+    void at(long endpoint, InetSocketAddress address, boolean serving, int batch) {
         Peer peer = peers.computeIfAbsent(endpoint, e -> new Peer());
         if (!serving || !address.equals(peer.address)) {
             closeIdle(endpoint);
         }
         peer.address = address;
+        peer.batch = batch;
     }
 
     /** An endpoint has been gone for long: its connections are closed, those of calls out once they end. */
@@ -122,22 +131,17 @@
      */
     Call call(Held held, int attempt, long endpoint, double timeoutMs, long decidedNanos) {
         double leftMs = Math.max(0, timeoutMs - (System.nanoTime() - decidedNanos) / 1e6);
-        Call call = new Call(held, attempt, peers.get(endpoint), leftMs);
+        Post post = peers.get(endpoint).postFor(held);
+        Call call = new Call(held, attempt, post, leftMs);
         call.timer = loop.schedule(call::timedOut, (long) Math.ceil(leftMs * 1000), TimeUnit.MICROSECONDS);
-        Connection kept = call.peer.newestIdle();
-        if (kept != null) {
-            call.write(kept);
-        } else {
-            InetSocketAddress dialled = call.peer.address;
-            bootstrap.connect(dialled).addListener((ChannelFuture f) -> call.connected(f, dialled));
-        }
+        post.add(call);
         return call;
     }
 
-    /** Stops waiting for a call, by closing its connection. */
+    /** Stops waiting for a call, by closing its connection unless others wait for their answer on it. */
     void cancel(Call call) {
         call.end(Outcome.CANCELLED);
-        call.close();
+        call.post.closeIfOver();
     }
 
     void closeIdle(long endpoint) {
@@ -163,7 +167,19 @@
 
     private final class Peer {
         InetSocketAddress address;
+        int batch = 1;
         final Deque<Connection> idle = new ArrayDeque<>();
+        /** The post of this turn that calls may still join, if it has not gone out. */
+        private Post next;
+
+        /** A post is written once the turn is over, so that all calls of the turn are in it. */
+        Post postFor(Held held) {
+            if (next == null || !next.takes(held)) {
+                next = new Post(this);
+                loop.execute(next::start);
+            }
+            return next;
+        }
 
         Connection newestIdle() {
             while (!idle.isEmpty()) {
@@ -183,121 +199,252 @@
         final Held held;
         final int attempt;
         final long startedNanos = System.nanoTime();
-        private final Peer peer;
+        private final Post post;
         private final double timeoutMs;
         private Future<?> timer;
+        private boolean done;
+
+        private Call(Held held, int attempt, Post post, double timeoutMs) {
+            this.held = held;
+            this.attempt = attempt;
+            this.post = post;
+            this.timeoutMs = timeoutMs;
+        }
+
+        private void timedOut() {
+            end(post.mayArrive() ? Outcome.TIMED_OUT : Outcome.UNREACHABLE);
+            post.closeIfOver();
+        }
+
+        private void end(Outcome outcome) {
+            end(outcome, false, 0);
+        }
+
+        private void end(Outcome outcome, boolean gone, double waitMs) {
+            if (done) {
+                return;
+            }
+            done = true;
+            timer.cancel(false);
+            // Never at once: an end may be found while the module is being called.
+            loop.execute(() -> ends.ended(this, outcome, gone, waitMs, post.toldRate));
+        }
+
+        /** What a single message's answer says, by the protocol's table. */
+        private void answered(int code, double waitMs, boolean noSlot) {
+            Outcome outcome = switch (code) {
+                case 200 -> Outcome.DELIVERED;
+                case 429 -> Outcome.FULL;
+                case 503 -> noSlot ? Outcome.NOT_SENT : Outcome.FULL;
+                case 504, 410 -> Outcome.NOT_SENT;
+                default -> Outcome.ERROR;
+            };
+            end(outcome, code == 410, code == 429 ? waitMs : 0);
+        }
+
+        /** What its line in the answer to several says; a wait binds, whatever became of the message. */
+        private void answered(String word, double waitMs) {
+            switch (word) {
+                case "accepted" -> end(Outcome.DELIVERED, false, waitMs);
+                case "fault" -> end(Outcome.ERROR, false, waitMs);
+                case "deferred" -> end(Outcome.FULL, false, waitMs);
+                case "expired" -> end(Outcome.NOT_SENT, true, waitMs);
+                case "no_more" -> end(Outcome.NOT_SENT, false, waitMs);
+                default -> throw new IllegalArgumentException("not an end: " + word);
+            }
+        }
+    }
+
+    /** The calls of one turn to one endpoint: they travel as one request, on one connection, in one slot. */
+    private final class Post {
+        /** What has a form of its own in the body of several: no blanks, and not the mark of what is absent. */
+        private static final Pattern WORD = Pattern.compile("[!-~]+");
+        private static final String NO_KEY = "-";
+
+        private final Peer peer;
+        private final List<Call> calls = new ArrayList<>();
+        private int bytes;
         private Connection connection;
+        /** Several messages are in it, as it went out. */
+        private boolean several;
+        private boolean written;
         /** The last byte is out: from here on it may have run. */
         private boolean flushed;
-        private boolean done;
         private double toldRate;
 
-        private Call(Held held, int attempt, Peer peer, double timeoutMs) {
-            this.held = held;
-            this.attempt = attempt;
+        Post(Peer peer) {
             this.peer = peer;
-            this.timeoutMs = timeoutMs;
+        }
+
+        private void add(Call call) {
+            calls.add(call);
+            bytes += frame(call.held).length;
+        }
+
+        /** Whether one more message may join: it needs room, and a form among several. */
+        boolean takes(Held held) {
+            return calls.size() < peer.batch && bytes + frame(held).length <= LONGEST_BODY && isWord(held)
+                    && calls.stream().allMatch(c -> isWord(c.held) && !c.held.id.equals(held.id));
+        }
+
+        private boolean isWord(Held held) {
+            return WORD.matcher(held.id).matches()
+                    && held.key.filter(k -> !WORD.matcher(k).matches() || k.equals(NO_KEY)).isEmpty();
+        }
+
+        private List<Call> waiting() {
+            return calls.stream().filter(c -> !c.done).toList();
+        }
+
+        private void start() {
+            if (peer.next == this) {
+                peer.next = null;
+            }
+            if (waiting().isEmpty()) {
+                return;
+            }
+            Connection kept = peer.newestIdle();
+            if (kept != null) {
+                write(kept);
+            } else {
+                InetSocketAddress dialled = peer.address;
+                bootstrap.connect(dialled).addListener((ChannelFuture f) -> connected(f, dialled));
+            }
         }
 
         private void connected(ChannelFuture f, InetSocketAddress dialled) {
-            if (done) {
+            if (!f.isSuccess()) {
+                endAll(Outcome.UNREACHABLE);
+                return;
+            }
+            if (waiting().isEmpty()) {
                 f.channel().close();
-            } else if (!f.isSuccess()) {
-                end(Outcome.UNREACHABLE);
-            } else {
-                Connection fresh = f.channel().pipeline().get(Connection.class);
-                fresh.peer = peer;
-                fresh.address = dialled;
-                write(fresh);
+                return;
             }
+            Connection fresh = f.channel().pipeline().get(Connection.class);
+            fresh.peer = peer;
+            fresh.address = dialled;
+            write(fresh);
         }
 
         private void write(Connection on) {
             FullHttpRequest request;
             try {
-                request = request();
+                request = request(waiting());
             } catch (IllegalArgumentException e) {
                 // A value that is no header's: no byte of it is out, and the attempt still needs its end.
                 Log.line("a call can't be written: " + e.getMessage());
-                end(Outcome.UNREACHABLE);
+                endAll(Outcome.UNREACHABLE);
                 on.close();
                 return;
             }
             connection = on;
+            written = true;
             on.begin(this);
             on.channel.writeAndFlush(request).addListener(f -> {
                 flushed |= f.isSuccess();
                 if (!f.isSuccess()) {
                     lost();
-                    close();
+                    closeIfOver();
                 }
             });
         }
 
-        private FullHttpRequest request() {
+        private FullHttpRequest request(List<Call> sent) {
+            several = sent.size() > 1;
+            Held first = sent.get(0).held;
+            byte[] body = several ? frames(sent) : first.body;
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-                    "/v1/messages", Unpooled.wrappedBuffer(held.body));
+                    several ? "/v1/messages:batch" : "/v1/messages", Unpooled.wrappedBuffer(body));
+            double waitsMs = sent.stream().mapToDouble(c -> c.timeoutMs).max().orElseThrow();
             request.headers()
                     .set(HttpHeaderNames.HOST, hostPort(peer.address))
-                    .set("X-Call-Id", held.id)
-                    .set("X-Budget-Ms", Math.max(1, (long) timeoutMs))
-                    .set(HttpHeaderNames.CONTENT_LENGTH, held.body.length);
-            held.key.ifPresent(key -> request.headers().set("Idempotency-Key", key));
+                    .set("X-Budget-Ms", Math.max(1, (long) waitsMs))
+                    .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            if (!several) {
+                request.headers().set("X-Call-Id", first.id);
+                first.key.ifPresent(key -> request.headers().set("Idempotency-Key", key));
+            }
             return request;
         }
 
-        private void timedOut() {
-            end(flushed ? Outcome.TIMED_OUT : Outcome.UNREACHABLE);
-            close();
+        private byte[] frames(List<Call> sent) {
+            ByteArrayOutputStream body = new ByteArrayOutputStream(bytes);
+            sent.forEach(c -> body.writeBytes(frame(c.held)));
+            return body.toByteArray();
         }
 
-        /** The connection is gone: whether it may have run hangs on the last byte. */
-        private void lost() {
-            end(flushed ? Outcome.BROKEN : Outcome.UNREACHABLE);
+        private byte[] frame(Held held) {
+            ByteArrayOutputStream frame = new ByteArrayOutputStream(held.body.length + 128);
+            frame.writeBytes((held.id + " " + held.key.orElse(NO_KEY) + " " + held.body.length + "\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            frame.writeBytes(held.body);
+            frame.writeBytes(new byte[] {'\r', '\n'});
+            return frame.toByteArray();
         }
 
-        /** A connection that has gone on to another call is left alone. */
-        private void close() {
-            if (connection != null && connection.call == this) {
-                connection.close();
-            }
+        /** Whether it may still come to the endpoint whole, for a call that ends now: others may hold it open. */
+        private boolean mayArrive() {
+            return flushed || written && waiting().size() > 1;
         }
 
-        private void end(Outcome outcome) {
-            timer.cancel(false);
-            end(outcome, false, 0);
+        /** The connection is gone: whether it may have run hangs on the last byte. */
+        private void lost() {
+            endAll(flushed ? Outcome.BROKEN : Outcome.UNREACHABLE);
         }
 
-        private void end(Outcome outcome, boolean gone, double waitMs) {
-            if (done) {
-                return;
+        private void endAll(Outcome outcome) {
+            calls.forEach(c -> c.end(outcome));
+        }
+
+        /** Gives up what nobody waits for; a connection that has gone on to another post is left alone. */
+        private void closeIfOver() {
+            if (connection != null && connection.post == this && waiting().isEmpty()) {
+                connection.close();
             }
-            done = true;
-            // Never at once: an end may be found while the module is being called.
-            loop.execute(() -> ends.ended(this, outcome, gone, waitMs, toldRate));
         }
 
-        /** The first line said 200: that is true whatever follows. */
-        private void delivered() {
-            end(Outcome.DELIVERED, false, 0);
+        /** A first line with 200 is true for one message, whatever follows; for several only the whole answer. */
+        private void firstLine(int code) {
+            if (code == 200 && !several) {
+                endAll(Outcome.DELIVERED);
+            }
         }
 
         /** What cannot be read may have run; a delivery that was read before stands. */
         private void spoilt() {
-            end(Outcome.BROKEN);
+            endAll(Outcome.BROKEN);
         }
 
-        /** What a whole answer says, by the protocol's table. */
-        private void answered(HttpResponse response) {
+        private void answered(HttpResponse response, String body) {
             int code = response.status().code();
-            Outcome outcome = switch (code) {
-                case 200 -> Outcome.DELIVERED;
-                case 429 -> Outcome.FULL;
-                case 503 -> response.headers().contains("X-No-Slot") ? Outcome.NOT_SENT : Outcome.FULL;
-                case 504, 410 -> Outcome.NOT_SENT;
-                default -> Outcome.ERROR;
-            };
-            end(outcome, code == 410, code == 429 ? waitMs(response) : 0);
+            double waitMs = waitMs(response);
+            if (several && code == 200) {
+                answered(body, waitMs);
+            } else if (several && (code == 400 || code == 413)) {
+                // The endpoint could not read it, or would not take so many: none has run.
+                endAll(Outcome.NOT_SENT);
+            } else {
+                boolean noSlot = response.headers().contains("X-No-Slot");
+                calls.forEach(c -> c.answered(code, waitMs, noSlot));
+            }
+        }
+
+        /** A line for each message; where one of them can't be read, none of the answer is believed. */
+        private void answered(String body, double waitMs) {
+            Map<String, String> words = new HashMap<>();
+            for (String line : body.split("\r?\n")) {
+                Matcher end = END_LINE.matcher(line);
+                if (!end.matches() || words.put(end.group(1), end.group(2)) != null) {
+                    spoilt();
+                    return;
+                }
+            }
+            if (calls.stream().anyMatch(c -> !c.done && !words.containsKey(c.held.id))) {
+                spoilt();
+                return;
+            }
+            calls.stream().filter(c -> !c.done).forEach(c -> c.answered(words.get(c.held.id), waitMs));
         }
     }
 
@@ -351,7 +498,7 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object read) {
             ByteBuf bytes = (ByteBuf) read;
-            if (connection.call == null) {
+            if (connection.post == null) {
                 // Nobody asked for this: the connection can't be trusted any more.
                 connection.close();
             }
@@ -400,18 +547,18 @@
         }
     }
 
-    /** A connection to an endpoint; it carries one call at a time. */
+    /** A connection to an endpoint; it carries one post at a time. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Channel channel;
         private final Answers answers = new Answers();
         private Peer peer;
         /** Where it leads: its peer may have moved since. */
         private InetSocketAddress address;
-        private Call call;
+        private Post post;
         /** The answer's head, once it has come. */
         private HttpResponse head;
         private boolean lineRead;
-        private long bodyBytes;
+        private final StringBuilder body = new StringBuilder();
         private Future<?> answerTimer;
         private long idleSince;
 
@@ -419,11 +566,11 @@
             this.channel = channel;
         }
 
-        private void begin(Call next) {
-            call = next;
+        private void begin(Post next) {
+            post = next;
             head = null;
             lineRead = false;
-            bodyBytes = 0;
+            body.setLength(0);
             answerTimer = null;
         }
 
@@ -441,59 +588,56 @@
         }
 
         private boolean awaitsFirstLine() {
-            return call != null && !lineRead;
+            return post != null && !lineRead;
         }
 
         private void firstLine(int code) {
             lineRead = true;
-            if (code == 200) {
-                call.delivered();
-            }
+            post.firstLine(code);
         }
 
         /** The answer can't be read, or does not end: nothing that may still come on it is of use. */
         private void spoilt() {
-            if (call != null) {
-                call.spoilt();
+            if (post != null) {
+                post.spoilt();
                 finish();
             }
             close();
         }
 
-        /** The call has no more to do with this connection. */
+        /** The post has no more to do with this connection. */
         private void finish() {
-            call.timer.cancel(false);
             if (answerTimer != null) {
                 answerTimer.cancel(false);
             }
-            call = null;
+            post = null;
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
-            if (call == null || part.decoderResult().isFailure()) {
+            if (post == null || part.decoderResult().isFailure()) {
                 spoilt();
                 return;
             }
             if (part instanceof HttpResponse response) {
                 head = response;
-                call.toldRate = toldRate(response);
-                if (HttpUtil.getContentLength(response, 0L) > LONGEST_ANSWER) {
+                post.toldRate = toldRate(response);
+                if (HttpUtil.getContentLength(response, 0L) > LONGEST_BODY) {
                     spoilt();
                     return;
                 }
             }
             if (part instanceof HttpContent content) {
-                bodyBytes += content.content().readableBytes();
-                if (bodyBytes > LONGEST_ANSWER) {
+                body.append(content.content().toString(StandardCharsets.ISO_8859_1));
+                if (body.length() > LONGEST_BODY) {
                     spoilt();
                     return;
                 }
             }
             if (part instanceof LastHttpContent && head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
-                call.answered(head);
+                post.answered(head, body.toString());
                 // An answer that overtakes its request leaves the connection in the middle of it.
-                boolean keep = HttpUtil.isKeepAlive(head) && call.flushed && !answers.holdsMore();
+                boolean keep = HttpUtil.isKeepAlive(head) && post.flushed && !answers.holdsMore();
                 finish();
                 if (keep && idle < mostIdle && channel.isActive()) {
                     loop.schedule(this::rested, REST_MS, TimeUnit.MILLISECONDS);
@@ -519,8 +663,8 @@
             if (peer != null && peer.idle.remove(this)) {
                 idle--;
             }
-            if (call != null) {
-                call.lost();
+            if (post != null) {
+                post.lost();
                 finish();
             }
         }
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -369,8 +369,9 @@
         for (Discovery.Entry e : entries) {
             long number = endpointNumber(e.id());
             destinations.add(e.destination());
-            endpoints.at(number, e.address(), e.serving());
-            list.add(new Relay.Endpoint(number, e.destination(), Math.max(0, config.kinds().indexOf(e.kind())),
+            int kind = Math.max(0, config.kinds().indexOf(e.kind()));
+            endpoints.at(number, e.address(), e.serving(), config.settings().kinds().get(kind).batch());
+            list.add(new Relay.Endpoint(number, e.destination(), kind,
                     Math.max(0, config.zones().indexOf(e.zone())), e.serving(), e.weight(), e.gone()));
         }
         forgetGone(whole, entries);
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -12,6 +12,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
@@ -26,6 +28,7 @@
 /** Each row of the protocol's table of outcomes, and the connections that calls go over. */
 class EndpointsTest {
     private static final double LONG_MS = 20_000;
+    private static final int BATCH = 3;
 
     private record End(Outcome outcome, boolean gone, double waitMs) {
     }
@@ -55,7 +58,7 @@
     }
 
     private void at(InetSocketAddress address) {
-        loop.submit(() -> endpoints.at(1, address, true)).syncUninterruptibly();
+        loop.submit(() -> endpoints.at(1, address, true, BATCH)).syncUninterruptibly();
     }
 
     private Endpoints.Call start(byte[] body, double timeoutMs) throws Exception {
@@ -199,7 +202,7 @@
     void aDrainingOrMovedEndpointsIdleConnectionsAreClosed() throws Exception {
         expect(Outcome.DELIVERED, Stub.status(200, ""));
         awaitKept();
-        loop.submit(() -> endpoints.at(1, stub.address(), false)).syncUninterruptibly();
+        loop.submit(() -> endpoints.at(1, stub.address(), false, BATCH)).syncUninterruptibly();
         assertEquals(0, kept());
     }
 
@@ -348,6 +351,131 @@
         }
     }
 
+    // ---- several messages in a call ----
+
+    private static Held message(String id) {
+        return new Held(1, id, "order", "t", id.equals("c") ? Optional.empty() : Optional.of("key-" + id), 7, 0,
+                id.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** Calls for these messages, all decided in one turn. */
+    private List<Endpoints.Call> startTogether(String... ids) throws Exception {
+        return loop.submit(() -> Arrays.stream(ids)
+                .map(id -> endpoints.call(message(id), 0, 1, LONG_MS, System.nanoTime())).toList()).get();
+    }
+
+    private static Stub.Script answer(String headers, String body) {
+        return (request, socket) -> Stub.write(socket, "HTTP/1.1 200 x\r\n" + headers + "Content-Length: "
+                + body.length() + "\r\n\r\n" + body);
+    }
+
+    private void expectEnds(End... expected) throws Exception {
+        for (End end : expected) {
+            assertEquals(end, end());
+        }
+    }
+
+    private static End plain(Outcome outcome) {
+        return new End(outcome, false, 0);
+    }
+
+    @Test
+    void theCallsOfATurnToOneEndpointTravelAsOne() throws Exception {
+        stub.script(answer("X-Load-Report: TEXT x0=0.5, x1=4\r\n", "a accepted\r\nc accepted\r\n"));
+        startTogether("a", "c");
+        expectEnds(plain(Outcome.DELIVERED), plain(Outcome.DELIVERED));
+        assertEquals(1, stub.requests.size());
+        Stub.Message m = stub.requests.get(0);
+        assertEquals("POST /v1/messages:batch HTTP/1.1", m.line());
+        assertEquals("a key-a 1\r\na\r\nc - 1\r\nc\r\n", m.body());
+        assertNull(m.header("X-Call-Id"));
+        assertEquals(List.of(4.0, 4.0), List.copyOf(told));
+    }
+
+    @Test
+    void noCallCarriesMoreThanTheEndpointTakesInOne() throws Exception {
+        stub.script((request, socket) -> {
+            boolean several = request.line().contains(":batch");
+            (several ? answer("", "a accepted\nb accepted\nc accepted\n") : Stub.status(200, ""))
+                    .come(request, socket);
+        });
+        startTogether("a", "b", "c", "d");
+        for (int i = 0; i < 4; i++) {
+            assertEquals(plain(Outcome.DELIVERED), end());
+        }
+        assertEquals(List.of("POST /v1/messages HTTP/1.1", "POST /v1/messages:batch HTTP/1.1"),
+                stub.requests.stream().map(Stub.Message::line).sorted().toList());
+    }
+
+    @Test
+    void eachOfSeveralEndsAsItsLineSays() throws Exception {
+        stub.script(answer("Retry-After: 0.5\r\n", "c deferred\r\nb fault\r\na accepted\r\n"));
+        startTogether("a", "b", "c");
+        expectEnds(new End(Outcome.DELIVERED, false, 500), new End(Outcome.ERROR, false, 500),
+                new End(Outcome.FULL, false, 500));
+        stub.script(answer("", "a expired\nb no_more\n"));
+        startTogether("a", "b");
+        expectEnds(new End(Outcome.NOT_SENT, true, 0), plain(Outcome.NOT_SENT));
+    }
+
+    @Test
+    void severalMayFareAlike() throws Exception {
+        stub.script(Stub.status(429, "Retry-After: 1.5\r\n"));
+        startTogether("a", "b");
+        expectEnds(new End(Outcome.FULL, false, 1500), new End(Outcome.FULL, false, 1500));
+        stub.script(Stub.status(500, ""));
+        startTogether("a", "b");
+        expectEnds(plain(Outcome.ERROR), plain(Outcome.ERROR));
+        stub.script(Stub.status(413, ""));
+        startTogether("a", "b");
+        expectEnds(plain(Outcome.NOT_SENT), plain(Outcome.NOT_SENT));
+    }
+
+    /** The first line alone says nothing of any one of them: each may have run. */
+    @Test
+    void ofAnUnreadableAnswerToSeveralNothingIsBelieved() throws Exception {
+        for (String body : List.of("", "a accepted\n", "a accepted\nb perhaps\n", "a accepted\na accepted\n")) {
+            stub.script(answer("", body));
+            startTogether("a", "b");
+            expectEnds(plain(Outcome.BROKEN), plain(Outcome.BROKEN));
+        }
+        stub.script((request, socket) -> {
+            Stub.write(socket, "HTTP/1.1 200 x\r\nContent-Length: 99\r\n\r\na accepted\n");
+            socket.close();
+        });
+        startTogether("a", "b");
+        expectEnds(plain(Outcome.BROKEN), plain(Outcome.BROKEN));
+    }
+
+    @Test
+    void oneThatIsCalledOffLeavesTheOthersOut() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        stub.script((request, socket) -> {
+            go.await();
+            answer("", "a accepted\nb accepted\n").come(request, socket);
+        });
+        List<Endpoints.Call> calls = startTogether("a", "b");
+        Stub.await("the call is out", () -> stub.requests.size() == 1);
+        loop.submit(() -> endpoints.cancel(calls.get(0))).syncUninterruptibly();
+        assertEquals(plain(Outcome.CANCELLED), end());
+        go.countDown();
+        assertEquals(plain(Outcome.DELIVERED), end());
+    }
+
+    /** Its key or id would be read as something else in the body of several. */
+    @Test
+    void aMessageWithoutAFormAmongSeveralTravelsAlone() throws Exception {
+        loop.submit(() -> {
+            for (String key : List.of("two words", "-", "plain")) {
+                endpoints.call(new Held(1, "id-" + key.length(), "order", "t", Optional.of(key), 7, 0, new byte[1]),
+                        0, 1, LONG_MS, System.nanoTime());
+            }
+        }).syncUninterruptibly();
+        expectEnds(plain(Outcome.DELIVERED), plain(Outcome.DELIVERED), plain(Outcome.DELIVERED));
+        assertEquals(List.of("-", "plain", "two words"),
+                stub.requests.stream().map(m -> m.header("Idempotency-Key")).sorted().toList());
+    }
+
     private void awaitKept() throws Exception {
         Stub.await("the connection is kept", () -> kept() == 1);
     }
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -21,6 +21,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import kestreldeal.Relay;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -41,6 +42,7 @@
     private volatile boolean agentUp = true;
     private volatile int reportStatus = 204;
     private boolean known = true;
+    private int batch = 1;
     private Sender sender;
     private InetSocketAddress address;
 
@@ -113,11 +115,11 @@
                 {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
                  "limits":{"memory_mb":192,"sockets":256,"disk_mb":3},"known":%s,
                  "settings":{"classes":[%s],"tenants":[{"name":"acme"}],"flavors":["m"],"zones":["a"],
-                  "family_info":{"workers":10,"batch_by_kind":[1],"separate_routes":[false]},
+                  "family_info":{"workers":10,"batch_by_kind":[%d],"separate_routes":[false]},
                   "fleet_size":1,"limits":{"most_tries":12,"second_copies":false,"cancel":true,"max_open":%d,
                    "dial_timeout_ms":1000,"keepalive_ms":15000},
                   "rules":{"start_capacity":0.2,"warm_after_ms":12000,"fall_multiple":2,"fall_ms":1500}}}
-                """.formatted(agent.hostPort(), known ? list() : "null", classes, MAX_OPEN));
+                """.formatted(agent.hostPort(), known ? list() : "null", classes, batch, MAX_OPEN));
         return Config.read(environment());
     }
 
@@ -255,6 +257,23 @@
         assertEquals(2, calls().size(), "what was delivered is not sent again by a later life");
     }
 
+    @Test
+    void whatGoesToAnEndpointInOneTurnTravelsAsOneCall() throws Exception {
+        batch = 4;
+        earlierBacklog(8, Map.of());
+        script((request, socket) -> {
+            // A call with one message is answered by its first line; the body means nothing then.
+            String ends = request.body().lines().filter(line -> line.startsWith("old-"))
+                    .map(line -> line.split(" ")[0] + " accepted\r\n").collect(Collectors.joining());
+            Stub.write(socket, "HTTP/1.1 200 x\r\nContent-Length: " + ends.length() + "\r\n\r\n" + ends);
+        });
+        start();
+        awaitNothingHeld();
+        assertTrue(calls().size() < 8, calls().size() + " calls for 8 messages");
+        assertTrue(calls().stream().anyMatch(m -> m.line().equals("POST /v1/messages:batch HTTP/1.1")));
+        assertTrue(notices.isEmpty());
+    }
+
     @Test
     void aMessageThatIsOverIsOwedNothing() throws Exception {
         script(Stub.status(410, ""));
