Count a call that is called off for its slot as overdue

Where slots lack, a call that is out of patience is called off. It then ended before its overdue timer, so it never told of silence: just when slots lacked, a silent endpoint counted as up and went on getting messages.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -375,7 +375,9 @@
      * Calls off the call that has been out longest by the measure of its endpoint, if it is out of patience
      * and may be repeated. Guards against calls that get no answer anywhere: a few in a hundred of them hold
      * all slots till their time-outs, and what has run out of time meanwhile can't be repeated any more. An
-     * endpoint that is merely slow is given more patience with each call that it has lost in this way.
+     * endpoint that is merely slow is given more patience with each call that it has lost in this way. What
+     * is called off counts as overdue: else a silent endpoint would count as up while slots lack, and take
+     * those that it gave up again.
      */
     private void freeSlot() {
         if (!settings.cancels()) {
@@ -391,6 +393,7 @@
         if (most != null) {
             most.calledOff = true;
             most.target.get().calledOff++;
+            most.call.ifPresent(Call::overdue);
             actions.cancel(most.delivery.message.id(), most.delivery.attempts.indexOf(most));
         }
     }
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import kestreldeal.Relay.Effect;
 import kestreldeal.Relay.Outcome;
@@ -539,6 +540,26 @@
         }
     }
 
+    /** Found in recording r4046: a silent endpoint counted as up, as its calls were called off too early. */
+    @Test
+    void aCallThatIsCalledOffForItsSlotIsASignOfSilence() {
+        Bench b = new Bench(4, 2).list(1, 10).list(2, 20);
+        b.strict = true;
+        b.onSend = s -> {
+            if (s.endpoint() == 20) {
+                b.endLater(s, Outcome.DELIVERED, 100);
+            }
+        };
+        b.takeTogether(3, SAFE, 1);
+        assertEquals(2, b.sends.size());
+        for (int i = 10; b.now < 1100; i++) {
+            b.take(i, SAFE, 2);
+            b.until(b.now + 20);
+        }
+        assertTrue(b.cancels.size() == 1, "called off " + b.cancels);
+        assertEquals(Optional.of(Relay.State.DOWN), Optional.ofNullable(b.health.get(10L)).map(Relay.Health::state));
+    }
+
     /** Found on the long day: one reset connection put an endpoint through a ramp of twelve seconds. */
     @Test
     void oneLostConnectionIsNoOutage() {
