Check a keyed repeat's window again when it is written

The write comes after the rest of the turn and after a connect of up to 1.5 s; at a cold start, or where connects are slow, that can be too late, and the endpoint no longer drops the repeat. Such a call now ends as not sent.

--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -68,6 +68,11 @@
      */
     interface Ends {
         void ended(Call call, Outcome outcome, boolean gone, double waitMs, double toldRate);
+
+        /** Whether a call may still be written: since it was decided a turn and a connect have passed. */
+        default boolean mayStillGo(Call call) {
+            return true;
+        }
     }
 
     private final EventLoop loop;
@@ -318,10 +323,6 @@
                 endAll(Outcome.UNREACHABLE);
                 return;
             }
-            if (waiting().isEmpty()) {
-                f.channel().close();
-                return;
-            }
             Connection fresh = f.channel().pipeline().get(Connection.class);
             fresh.peer = peer;
             fresh.address = dialled;
@@ -329,6 +330,11 @@
         }
 
         private void write(Connection on) {
+            waiting().stream().filter(c -> !ends.mayStillGo(c)).forEach(c -> c.end(Outcome.NOT_SENT));
+            if (waiting().isEmpty()) {
+                on.rest();
+                return;
+            }
             FullHttpRequest request;
             try {
                 request = request(waiting());
@@ -650,13 +656,18 @@
                 boolean keep = HttpUtil.isKeepAlive(head) && post.flushed && !answers.holdsMore();
                 finish();
                 if (keep && idle < mostIdle && channel.isActive()) {
-                    loop.schedule(this::rested, REST_MS, TimeUnit.MILLISECONDS);
+                    rest();
                 } else {
                     close();
                 }
             }
         }
 
+        /** Before its next call it is watched for what may still come. */
+        private void rest() {
+            loop.schedule(this::rested, REST_MS, TimeUnit.MILLISECONDS);
+        }
+
         /** Nothing came behind the answer: the next call may go over this connection. */
         private void rested() {
             if (channel.isActive() && idle < mostIdle && address.equals(peer.address)) {
--- a/src/main/java/kestreldeal/net/Held.java
+++ b/src/main/java/kestreldeal/net/Held.java
@@ -39,6 +39,11 @@
         }
     }
 
+    /** Whether this attempt, written now, is a repeat inside the window of all that may have run before it. */
+    boolean isInWindow(int attempt, long nowMs, double windowMs) {
+        return attempts.stream().limit(attempt).allMatch(a -> a.neverRan || nowMs <= a.sentAtMs + windowMs);
+    }
+
     /** The end that the platform must still hear of. */
     record Notice(boolean bounced, double waitMs) {
     }
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -42,6 +42,8 @@
     /** From SIGTERM: calls out may last till here; SIGKILL may come at 3.7 s. */
     static final long CLOSING_MS = 3300;
     private static final long DRAIN_POLL_MS = 20;
+    /** A keyed repeat is written so long before its window ends: it still has to arrive. */
+    private static final double WRITTEN_MARGIN_MS = 150;
     /** An endpoint that has left the list is forgotten after so long: no call lasts till then. */
     private static final long GONE_MS = 60_000;
 
@@ -127,7 +129,7 @@
         int mostClients = (int) (sockets * CLIENT_SHARE);
         int mostIdle = Math.max(1, sockets - mostClients - config.settings().slots());
         endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(), mostIdle,
-                this::attemptEnded);
+                new Calls());
         agentAddress = config.discovery();
         notices = new Notices(loop, new Agent(loop, agentAddress), this::heard);
         intake = new Intake(loop, mostClients, new Clients());
@@ -323,11 +325,27 @@
 
     // ---- what the module is told ----
 
-    private void attemptEnded(Endpoints.Call call, Relay.Outcome outcome, boolean gone, double waitMs,
-            double toldRate) {
-        calls.remove(new Out(call.held.number, call.attempt));
-        double took = (System.nanoTime() - call.startedNanos) / 1e6;
-        attemptEnded(call.held, call.attempt, outcome, gone, waitMs, toldRate, took);
+    /** The endpoints' side. */
+    private final class Calls implements Endpoints.Ends {
+        @Override
+        public void ended(Endpoints.Call call, Relay.Outcome outcome, boolean gone, double waitMs,
+                double toldRate) {
+            calls.remove(new Out(call.held.number, call.attempt));
+            double took = (System.nanoTime() - call.startedNanos) / 1e6;
+            attemptEnded(call.held, call.attempt, outcome, gone, waitMs, toldRate, took);
+        }
+
+        /**
+         * The module keeps repeats of a keyed message inside its window, by the time at which it decides. Where
+         * the CPU is scarce, as after a start, or a connect takes long, the window may pass before the write.
+         */
+        @Override
+        public boolean mayStillGo(Endpoints.Call call) {
+            Relay.MessageClass type = config.settings().classes()
+                    .get(config.classes().indexOf(call.held.messageClass));
+            return type.effect() != Relay.Effect.KEYED || call.held.isInWindow(call.attempt,
+                    System.currentTimeMillis(), type.windowMs() - WRITTEN_MARGIN_MS);
+        }
     }
 
     private void attemptEnded(Held held, int attempt, Relay.Outcome outcome, boolean gone, double waitMs,
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -41,15 +41,24 @@
     private final BlockingQueue<Double> told = new LinkedBlockingQueue<>();
     private Endpoints endpoints;
     private Stub stub;
+    /** The message whose call may not be written any more. */
+    private volatile String tooLate = "";
 
     @BeforeEach
     void open() throws Exception {
         stub = new Stub(Stub.status(200, ""));
-        endpoints = new Endpoints(loop, 1000, 15_000, 4,
-                (call, outcome, gone, waitMs, toldRate) -> {
-                    told.add(toldRate);
-                    ends.add(new End(outcome, gone, waitMs));
-                });
+        endpoints = new Endpoints(loop, 1000, 15_000, 4, new Endpoints.Ends() {
+            @Override
+            public void ended(Endpoints.Call call, Outcome outcome, boolean gone, double waitMs, double toldRate) {
+                told.add(toldRate);
+                ends.add(new End(outcome, gone, waitMs));
+            }
+
+            @Override
+            public boolean mayStillGo(Endpoints.Call call) {
+                return !call.held.id.equals(tooLate);
+            }
+        });
         at(stub.address());
     }
 
@@ -486,6 +495,18 @@
         assertEquals(plain(Outcome.DELIVERED), end());
     }
 
+    /** A day with a duplicate after a restart: what was decided in time may be written too late. */
+    @Test
+    void whatMayNotGoAnyMoreIsNotWrittenOnceConnected() throws Exception {
+        tooLate = "a";
+        startTogether("a", "b");
+        assertEquals(plain(Outcome.NOT_SENT), end());
+        assertEquals(plain(Outcome.DELIVERED), end());
+        startTogether("a");
+        assertEquals(plain(Outcome.NOT_SENT), end());
+        assertEquals(List.of("b"), stub.requests.stream().map(m -> m.header("X-Call-Id")).toList());
+    }
+
     /** Its key or id would be read as something else in the body of several. */
     @Test
     void aMessageWithoutAFormAmongSeveralTravelsAlone() throws Exception {
--- /dev/null
+++ b/src/test/java/kestreldeal/net/HeldTest.java
@@ -0,0 +1,35 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class HeldTest {
+    private final Held held = new Held(1, "id", "order", "t", Optional.of("key"), 7, 20_000, new byte[0]);
+
+    private Held.Attempt sent(long atMs) {
+        Held.Attempt attempt = new Held.Attempt("e", atMs);
+        held.attempts.add(attempt);
+        return attempt;
+    }
+
+    @Test
+    void aRepeatIsInTheWindowOfTheFirstAttemptThatMayHaveRun() {
+        Held.Attempt first = sent(1000);
+        sent(3000);
+        sent(5000);
+        assertTrue(held.isInWindow(2, 6000, 5000));
+        assertFalse(held.isInWindow(2, 6001, 5000));
+        first.neverRan = true;
+        assertTrue(held.isInWindow(2, 8000, 5000));
+        assertFalse(held.isInWindow(2, 8001, 5000));
+    }
+
+    @Test
+    void aFirstAttemptHasNoWindow() {
+        sent(1000);
+        assertTrue(held.isInWindow(0, 60_000, 5000));
+    }
+}
