Send payments during a planned close if a slow answer still fits

In a close the module starts only calls that it expects to end in time, and gave what can't be repeated its whole time-out: a third of the deadline, 3.96 s of the 3.3 that a close has. The slowest answer to be reckoned with counts now.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -965,15 +965,20 @@
         }
 
         /**
-         * How long a call may be out, as far as can be told before: what can't be repeated is not to be cut
-         * off, so its time-out counts.
+         * How long a call may be out, as far as can be told before. What can't be repeated is not to be cut
+         * off, so it gets the slowest answer to be reckoned with; not its time-out, which is for what never
+         * answers: that is longer than any close takes, and would hold all of these for the next life.
          */
         double expectedEnd(MessageClass type) {
-            return type.effect() == Effect.UNSAFE ? timeout(type) : patience();
+            return type.effect() == Effect.UNSAFE ? slowest() : patience();
+        }
+
+        private double slowest() {
+            return latency + TIMEOUT_DEVIATIONS * deviation;
         }
 
         double timeout(MessageClass type) {
-            double base = Math.max(type.aimMs() * TIMEOUT_AIMS, latency + TIMEOUT_DEVIATIONS * deviation);
+            double base = Math.max(type.aimMs() * TIMEOUT_AIMS, slowest());
             double patience = type.effect() == Effect.UNSAFE ? type.deadlineMs() * UNSAFE_PATIENCE : 0;
             return Math.max(base, patience);
         }
