Don't take a reset beside a failed connect for an outage

A failed connect takes an endpoint down, and a delivery within 2.5 s of the last one shows that it was not out. But a call that was reset in between counted as the endpoint's failing, and then it had to warm up for 12 s. Only errors and refusals, which an endpoint itself answers, count now.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -879,7 +879,7 @@
         double warmSince;
         double downAt;
         boolean silentOnly;
-        /** Since it is down it has failed or refused calls, not only connections. */
+        /** Since it is down it has itself failed or refused calls; a reset may be the network's doing. */
         boolean failing;
         double nextAt = Double.NEGATIVE_INFINITY;
         double usedAt = Double.NEGATIVE_INFINITY;
@@ -1005,7 +1005,10 @@
                 case DELIVERED -> good(call, end);
                 case FULL -> full(call, end.waitMs());
                 case UNREACHABLE -> bad(UNREACHABLE_WEIGHT, "refuses connections");
-                case ERROR -> bad(BAD_WEIGHT, "loses calls");
+                case ERROR -> {
+                    bad(BAD_WEIGHT, "fails calls");
+                    failing |= state == State.DOWN;
+                }
                 default -> {
                     connections.lost(call);
                     bad(BAD_WEIGHT, "loses calls");
@@ -1064,7 +1067,6 @@
             if (noneGood() || bad >= DOWN_AT) {
                 down(symptom);
             }
-            failing = state == State.DOWN && (failing || weight == BAD_WEIGHT);
         }
 
         void overdue(Call call) {
@@ -1088,6 +1090,7 @@
             silentOnly = false;
             if (state != State.DOWN) {
                 state = State.DOWN;
+                failing = false;
                 downAt = clock;
                 nextAt = Math.max(clock, limit.waitUntil) + random.nextDouble() / allowedRate();
                 actions.log("endpoint " + entry.id() + " " + symptom + ", trials only");
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -560,6 +560,20 @@
         assertEquals(Optional.of(Relay.State.DOWN), Optional.ofNullable(b.health.get(10L)).map(Relay.Health::state));
     }
 
+    /** Found on day-6: a network that resets a tenth of all put the busiest endpoint through ramp after ramp. */
+    @Test
+    void resetsBesideALostConnectionAreNoOutage() {
+        Bench b = new Bench(100, 2).list(1, 10);
+        List<Outcome> resets = List.of(Outcome.UNREACHABLE, Outcome.BROKEN);
+        b.onSend = s -> b.endLater(s, s.at() > 4000 && s.at() < 4050 ? resets.get(b.sends.size() % 2)
+                : Outcome.DELIVERED, 20);
+        b.takeEvery(10, SAFE, 1, 5000);
+        int before = b.sends.size();
+        b.takeEvery(10, SAFE, 1, 6000);
+        int sent = b.sends.size() - before;
+        assertTrue(sent > 80, "sent in a second: " + sent);
+    }
+
     /** Found on the long day: one reset connection put an endpoint through a ramp of twelve seconds. */
     @Test
     void oneLostConnectionIsNoOutage() {
