Serve the operators' address with readyz and the figures

The figures are counted where a message ends; what is avoided is asked of the module (Relay.standing).

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -238,6 +238,13 @@
         closesAt = end;
     }
 
+    @Override
+    public Standing standing() {
+        List<Target> listed = targets.values().stream().filter(t -> t.goneAt > clock).toList();
+        long used = listed.stream().filter(t -> t.serving && t.state != State.DOWN).count();
+        return new Standing(listed.size(), (int) (listed.size() - used));
+    }
+
     private Delivery take(Message message) {
         if (message.messageClass() < 0 || message.messageClass() >= settings.classes().size()) {
             throw new IllegalArgumentException("unknown class " + message.messageClass());
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -65,6 +65,9 @@
     /** A wake asked for by {@link Actions#wakeAt} has come; early and stale ones do no harm. */
     void wake(double now);
 
+    /** How the endpoints of the list stand now, for the people on call. */
+    Standing standing();
+
     /** All events of this turn have been told: queued sends are decided now. */
     void endTurn(double now);
 
@@ -169,6 +172,10 @@
     record EarlierAttempt(long endpoint, double sentAt, boolean mayHaveRun) {
     }
 
+    /** How many endpoints the list names, and how many of them get nothing new, or trials only. */
+    record Standing(int listed, int avoided) {
+    }
+
     /** What an endpoint is held to be. */
     enum State {
         /** In service. */
--- a/src/main/java/kestreldeal/net/Config.java
+++ b/src/main/java/kestreldeal/net/Config.java
@@ -21,7 +21,8 @@
  * discovery: the file may be replaced while the sender runs, and the environment then still names the old
  * address, also after a restart. Settings keep their dotted names, so that the adapter and the sender read them in one way.
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed,
+record Config(String name, InetSocketAddress listen, Optional<InetSocketAddress> ops,
+              InetSocketAddress discovery, Path state, long seed,
               int sockets, long diskBytes, Relay.Settings settings, List<String> classes,
               List<String> tenants, List<String> kinds, List<String> zones, int maxOpen, double dialMs,
               Optional<JsonNode> known) {
@@ -39,6 +40,7 @@
         return new Config(
                 env.getOrDefault("GW_NAME", json.path("name").asText("sender")),
                 address(env.getOrDefault("GW_LISTEN", json.path("listen").asText())),
+                optionalAddress(env.getOrDefault("GW_OPS", json.path("ops").asText())),
                 address(json.path("discovery").asText(env.getOrDefault("GW_DISCOVERY", ""))),
                 Path.of(required(env, "GW_STATE")),
                 seed(json.path("seed").asText("0")),
@@ -69,6 +71,11 @@
         }
     }
 
+    /** An address that a deployment may leave out. */
+    private static Optional<InetSocketAddress> optionalAddress(String text) throws BadInput {
+        return text.isEmpty() ? Optional.empty() : Optional.of(address(text));
+    }
+
     /** Nested JSON as the dotted names of the simulator's wire. */
     static void flatten(String name, JsonNode node, Map<String, String> values) {
         if (node.isObject()) {
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -69,6 +69,10 @@
     interface Ends {
         void ended(Call call, Outcome outcome, boolean gone, double waitMs, double toldRate);
 
+        /** So many messages have been written whole, in one request. */
+        default void written(int messages) {
+        }
+
         /** Whether a call may still be written: since it was decided a turn and a connect have passed. */
         default boolean mayStillGo(Call call) {
             return true;
@@ -348,9 +352,12 @@
             connection = on;
             written = true;
             on.begin(this);
+            int messages = waiting().size();
             on.channel.writeAndFlush(request).addListener(f -> {
                 flushed |= f.isSuccess();
-                if (!f.isSuccess()) {
+                if (f.isSuccess()) {
+                    ends.written(messages);
+                } else {
                     lost();
                     closeIfOver();
                 }
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -93,6 +93,10 @@
         /** Journals a message, or refuses it by an empty answer. */
         Optional<Held> take(Submission submission);
 
+        /** A message of this class is refused before it was taken. */
+        default void turnedAway(String messageClass) {
+        }
+
         /** The client has heard that it was taken, or never will. */
         void answered(Held held, boolean heard);
     }
@@ -363,18 +367,23 @@
                 return;
             }
             if (!desk.knowsDestination(submission.destination())) {
-                end(request, HttpResponseStatus.SERVICE_UNAVAILABLE, "no list names this dest");
+                turnAway(request, submission, "no list names this dest");
                 return;
             }
             Optional<Held> taken = desk.take(submission);
             if (taken.isEmpty()) {
-                end(request, HttpResponseStatus.SERVICE_UNAVAILABLE, "no room");
+                turnAway(request, submission, "no room");
                 return;
             }
             end(request, HttpResponseStatus.ACCEPTED, "")
                     .addListener(f -> desk.answered(taken.get(), f.isSuccess()));
         }
 
+        private void turnAway(FullHttpRequest request, Submission submission, String why) {
+            desk.turnedAway(submission.messageClass());
+            end(request, HttpResponseStatus.SERVICE_UNAVAILABLE, why);
+        }
+
         private ChannelFuture end(FullHttpRequest request, HttpResponseStatus status, String text) {
             FullHttpResponse answer = answer(status, request.method().equals(HttpMethod.HEAD) ? "" : text);
             if (!closing && HttpUtil.isKeepAlive(request)) {
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -25,8 +25,8 @@
  * thread alone touches the module and all that hangs on it, so nothing here is locked. It decides nothing.
  */
 public final class Sender implements Relay.Actions {
-    /** Descriptors that are neither clients nor calls: the machine's own (30 are seen), the journal, agents. */
-    private static final int OTHER_SOCKETS = 48;
+    /** Descriptors that are neither clients nor calls: the machine's own (30 are seen), the journal, agents, operators. */
+    private static final int OTHER_SOCKETS = 48 + Ops.MOST;
     /** Share of the rest for clients, who may hold a third of all for requests; the others are for calls. */
     private static final double CLIENT_SHARE = 0.5;
     /** Ids of messages that are over are known for as many messages, lest one be taken on twice. */
@@ -82,6 +82,10 @@
     private Discovery discovery;
     private InetSocketAddress agentAddress;
     private Intake intake;
+    private Ops ops;
+    private final Figures figures;
+    /** Where operators connect, if anywhere. */
+    private InetSocketAddress operators;
     private boolean turnOpen;
     private double clock;
     private boolean closing;
@@ -96,6 +100,7 @@
         this.takingMs = takingMs;
         this.closingMs = closingMs;
         this.relay = Relay.create(config.settings(), config.seed(), this);
+        this.figures = new Figures(config.classes());
     }
 
     /** Runs a sender until it is told to end; returns the exit code. */
@@ -118,11 +123,16 @@
     /** Replays the journal and begins to serve; returns the address when clients can connect to it. */
     InetSocketAddress start() throws IOException {
         loop.submit(this::open).syncUninterruptibly();
+        operators = config.ops().map(ops::listen).orElse(null);
         InetSocketAddress address = intake.listen(config.listen());
         Log.line(config.name() + " listens at " + Endpoints.hostPort(address));
         return address;
     }
 
+    InetSocketAddress operators() {
+        return operators;
+    }
+
     private Void open() throws IOException {
         journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts());
         int sockets = Math.max(config.sockets() - OTHER_SOCKETS, 64);
@@ -133,6 +143,7 @@
         agentAddress = config.discovery();
         notices = new Notices(loop, new Agent(loop, agentAddress), this::heard);
         intake = new Intake(loop, mostClients, new Clients());
+        ops = new Ops(loop, new Operators());
         discovery = new Discovery(loop, new Agent(loop, agentAddress), this::listed);
         discovery.start(config.known());
         return null;
@@ -276,11 +287,13 @@
 
     @Override
     public void refuse(long message, double waitMs) {
+        figures.ended(open.get(message).messageClass, Figures.End.REJECTED);
         end(open.get(message), new Held.Notice(true, waitMs));
     }
 
     @Override
     public void fail(long message) {
+        figures.ended(open.get(message).messageClass, Figures.End.FAILED);
         end(open.get(message), new Held.Notice(false, 0));
     }
 
@@ -335,6 +348,11 @@
             attemptEnded(call.held, call.attempt, outcome, gone, waitMs, toldRate, took);
         }
 
+        @Override
+        public void written(int messages) {
+            figures.written(messages);
+        }
+
         /**
          * The module keeps repeats of a keyed message inside its window, by the time at which it decides. Where
          * the CPU is scarce, as after a start, or a connect takes long, the window may pass before the write.
@@ -354,6 +372,9 @@
             if (!held.over && (gone || outcome == Relay.Outcome.DELIVERED)) {
                 over(held);
                 ended.put(held.id, true);
+                if (outcome == Relay.Outcome.DELIVERED) {
+                    figures.ended(held.messageClass, Figures.End.COMPLETED);
+                }
                 journal.ended(held);
             } else if (!held.over && !outcome.mayHaveRun()) {
                 journal.neverRan(held, attempt);
@@ -463,6 +484,11 @@
             return destinations.contains(destination);
         }
 
+        @Override
+        public void turnedAway(String messageClass) {
+            figures.ended(messageClass, Figures.End.REJECTED);
+        }
+
         /** What was ended by a notice is not taken on again under its id, nor is it owed anything more. */
         @Override
         public Optional<HttpResponseStatus> answeredBefore(String id) {
@@ -512,6 +538,20 @@
         }
     }
 
+    /** The operators' side. */
+    private final class Operators implements Ops.Desk {
+        @Override
+        public boolean serves() {
+            return ready && !closing;
+        }
+
+        @Override
+        public String figures() {
+            Relay.Standing standing = relay.standing();
+            return figures.text(open.size(), standing.listed(), standing.avoided());
+        }
+    }
+
     // ---- the end ----
 
     /**
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -112,7 +113,7 @@
                 {"name":"once","aim_ms":2000,"give_up_ms":24000,"repeat":"unsafe"}""";
         Path file = folder.resolve("config.json");
         Files.writeString(file, """
-                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+                {"name":"n0","listen":"127.0.0.1:0","ops":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
                  "limits":{"memory_mb":192,"sockets":256,"disk_mb":3},"known":%s,
                  "settings":{"classes":[%s],"tenants":[{"name":"acme"}],"flavors":["m"],"zones":["a"],
                   "family_info":{"workers":10,"batch_by_kind":[%d],"separate_routes":[false]},
@@ -239,6 +240,84 @@
         assertEquals(1, notices.size());
     }
 
+    private String operator(String call) throws IOException {
+        try (Socket socket = new Socket(sender.operators().getAddress(), sender.operators().getPort())) {
+            Stub.write(socket, call + "\n");
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
+    private int figure(String name) throws IOException {
+        return operator("telemetry").lines().filter(line -> line.startsWith("edge_gw_" + name + " "))
+                .mapToInt(line -> Integer.parseInt(line.split(" ")[1])).findFirst().orElseThrow();
+    }
+
+    // ---- the operators ----
+
+    @Test
+    void figuresTellHowMessagesEnded() throws Exception {
+        start();
+        handIn("one", "order");
+        awaitNothingHeld();
+        script(Stub.status(500, ""));
+        handIn("two", "once");
+        awaitNotice("dead");
+        script(Stub.silent());
+        for (int i = 0; i < MAX_OPEN; i++) {
+            handIn("held-" + i, "order");
+        }
+        assertEquals("HTTP/1.1 503 Service Unavailable", ask(client(), message("more", "order", "x")).line());
+        Stub.await("all are out", () -> calls().size() == 2 + MAX_OPEN);
+        assertEquals(1, figure("completed_total{lane=\"order\"}"));
+        assertEquals(0, figure("completed_total{lane=\"once\"}"));
+        assertEquals(1, figure("failed_total{lane=\"once\"}"));
+        assertEquals(1, figure("rejected_total{lane=\"order\"}"));
+        assertEquals(2 + MAX_OPEN, figure("upstream_requests_total"));
+        assertEquals(MAX_OPEN, figure("pending"));
+        assertEquals(2, figure("members"));
+        assertEquals(0, figure("members_unavailable"));
+        killAndStart();
+        assertEquals(0, figure("completed_total{lane=\"order\"}"), "each process counts from 0");
+    }
+
+    @Test
+    void figuresTellWhichEndpointsAreAvoided() throws Exception {
+        start();
+        states = "DRAINING SERVING";
+        Stub.await("one drains", () -> unchecked(() -> figure("members_unavailable") == 1));
+        assertEquals(2, figure("members"));
+        states = "DELETED SERVING";
+        Stub.await("one is gone", () -> unchecked(() -> figure("members") == 1));
+        assertEquals(0, figure("members_unavailable"));
+        endpoints.get(1).close();
+        handIn("one", "order");
+        Stub.await("the other is down", () -> unchecked(() -> figure("members_unavailable") == 1));
+    }
+
+    private static boolean unchecked(Callable<Boolean> condition) {
+        try {
+            return condition.call();
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    @Test
+    void aSenderIsNotReadyBeforeItHasAListNorOnceItEnds() throws Exception {
+        known = false;
+        agentUp = false;
+        start();
+        assertTrue(operator("readyz").startsWith("NO"));
+        agentUp = true;
+        Stub.await("ready", () -> unchecked(() -> operator("readyz").equals("YES\n")));
+        script(Stub.silent());
+        handIn("one", "order");
+        Thread end = new Thread(sender::drain);
+        end.start();
+        Stub.await("it ends", () -> unchecked(() -> operator("readyz").startsWith("NO")));
+        end.join();
+    }
+
     // ---- delivery ----
 
     @Test
