--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -61,6 +61,8 @@
     private static final long REQUEST_MS = 2000;
     /** A connection between requests is kept for so long, lest those that ask once keep the others out. */
     private static final long IDLE_MS = 2500;
+    /** The same while clients are sent away, so that none is left long before the four seconds of that are over. */
+    private static final long AWAY_IDLE_MS = 1000;
     /** From the answer to what is too long until the close: closing at once could reset it unread. */
     private static final long LINGER_MS = 500;
     private static final long SWEEP_MS = 200;
@@ -109,6 +111,8 @@
     private final ServerBootstrap bootstrap;
     private Channel listener;
     private boolean closing;
+    /** Clients are sent away, but what they hand in all the same is taken. */
+    private boolean away;
 
     Intake(EventLoop loop, int mostClients, Desk desk) {
         this.loop = loop;
@@ -151,6 +155,15 @@
         listener.close();
     }
 
+    /**
+     * Sends the clients away, or takes them back. The front hears of it from {@code /healthz}, for which the
+     * listener stays open; a client by the answer that ends its connection. Only what was idle for long is closed
+     * without one: a request that crosses such a close is sent again, at the price of a connection.
+     */
+    void evacuate(boolean clientsAway) {
+        away = clientsAway;
+    }
+
     /** Connections that clients have open. */
     int clients() {
         return clients.values().stream().mapToInt(Set::size).sum();
@@ -162,7 +175,7 @@
             long limitMs = switch (state) {
                 case ENDING -> LINGER_MS;
                 case SILENT, ASKING -> REQUEST_MS;
-                case IDLE -> closing ? Long.MAX_VALUE : IDLE_MS;
+                case IDLE -> closing ? Long.MAX_VALUE : away ? AWAY_IDLE_MS : IDLE_MS;
             };
             members.stream().takeWhile(c -> TimeUnit.NANOSECONDS.toMillis(now - c.since) >= limitMs).toList()
                     .forEach(Client::outOfTime);
@@ -343,7 +356,7 @@
             if (request.decoderResult().isFailure()) {
                 last(HttpResponseStatus.BAD_REQUEST, "not HTTP");
             } else if (path.equals("/healthz")) {
-                end(request, desk.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
+                end(request, desk.ready() && !away ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
             } else if (!desk.knowsClass(path.split("/", 3).length > 1 ? path.split("/", 3)[1] : "")) {
                 end(request, HttpResponseStatus.NOT_FOUND, "no such path");
             } else if (!request.method().equals(HttpMethod.POST)) {
@@ -386,7 +399,7 @@
 
         private ChannelFuture end(FullHttpRequest request, HttpResponseStatus status, String text) {
             FullHttpResponse answer = answer(status, request.method().equals(HttpMethod.HEAD) ? "" : text);
-            if (!closing && HttpUtil.isKeepAlive(request)) {
+            if (!closing && !away && HttpUtil.isKeepAlive(request)) {
                 return channel.writeAndFlush(answer);
             }
             enter(State.ENDING);
--- a/src/main/java/kestreldeal/net/Ops.java
+++ b/src/main/java/kestreldeal/net/Ops.java
@@ -42,6 +42,9 @@
 
         /** The figures, a line each. */
         String figures();
+
+        /** Sends the clients away, or takes them back; telling it twice does no harm. */
+        void evacuate(boolean away);
     }
 
     private final Desk desk;
@@ -77,6 +80,14 @@
         return switch (call.strip()) {
             case "readyz" -> desk.serves() ? "YES\n" : "NO not serving\n";
             case "telemetry" -> desk.figures() + "END\n";
+            case "evacuate" -> {
+                desk.evacuate(true);
+                yield "YES\n";
+            }
+            case "activate" -> {
+                desk.evacuate(false);
+                yield "YES\n";
+            }
             default -> "NO unknown call\n";
         };
     }
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -550,6 +550,12 @@
             Relay.Standing standing = relay.standing();
             return figures.text(open.size(), standing.listed(), standing.avoided());
         }
+
+        @Override
+        public void evacuate(boolean away) {
+            Log.line(away ? "operators send the clients away" : "operators take the clients back");
+            intake.evacuate(away);
+        }
     }
 
     // ---- the end ----
--- a/src/test/java/kestreldeal/net/OpsTest.java
+++ b/src/test/java/kestreldeal/net/OpsTest.java
@@ -1,6 +1,7 @@
 package kestreldeal.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
@@ -23,6 +24,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<Socket> sockets = new ArrayList<>();
     private volatile boolean serves = true;
+    private volatile boolean away;
     private InetSocketAddress address;
 
     @BeforeEach
@@ -37,6 +39,11 @@
             public String figures() {
                 return "edge_gw_pending 14\n";
             }
+
+            @Override
+            public void evacuate(boolean clientsAway) {
+                away = clientsAway;
+            }
         });
         address = ops.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     }
@@ -73,6 +80,18 @@
         assertTrue(call("readyz\n").startsWith("NO"));
     }
 
+    @Test
+    void aDrainMayBeToldTwiceAndEnded() throws Exception {
+        for (int i = 0; i < 2; i++) {
+            assertEquals("YES\n", call("evacuate\n"));
+            assertTrue(away);
+        }
+        for (int i = 0; i < 2; i++) {
+            assertEquals("YES\n", call("activate\n"));
+            assertFalse(away);
+        }
+    }
+
     @Test
     void whatIsNoCallIsAnsweredNo() throws Exception {
         for (String noise : List.of("\n", "reboot\n", "GET / HTTP/1.1\r\n\r\n", "x".repeat(5000), "\0\u0001\n")) {
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -294,6 +294,31 @@
         Stub.await("the other is down", () -> unchecked(() -> figure("members_unavailable") == 1));
     }
 
+    @Test
+    void clientsAreSentAwayAndTakenBack() throws Exception {
+        start();
+        Socket used = client();
+        Socket idle = client();
+        String health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+        assertEquals("HTTP/1.1 200 OK", ask(used, health).line());
+        assertEquals("HTTP/1.1 200 OK", ask(idle, health).line());
+        assertEquals("YES\n", operator("evacuate"));
+        assertEquals("YES\n", operator("evacuate"), "a drain may be told twice");
+        assertEquals("YES\n", operator("readyz"), "the process can serve all the same");
+        Stub.Message taken = ask(used, message("one", "order", "hello"));
+        assertEquals("HTTP/1.1 202 Accepted", taken.line(), "what comes all the same is taken");
+        assertEquals("close", taken.header("Connection"));
+        assertEquals(-1, used.getInputStream().read());
+        assertEquals(-1, idle.getInputStream().read(), "what idles is closed");
+        assertEquals("HTTP/1.1 503 Service Unavailable", ask(client(), health).line());
+        awaitNothingHeld();
+        assertEquals("YES\n", operator("activate"));
+        Socket back = client();
+        assertEquals("HTTP/1.1 200 OK", ask(back, health).line());
+        assertEquals("HTTP/1.1 202 Accepted", ask(back, message("two", "order", "hello")).line());
+        assertEquals("HTTP/1.1 200 OK", ask(back, health).line(), "connections are kept again");
+    }
+
     private static boolean unchecked(Callable<Boolean> condition) {
         try {
             return condition.call();
