Let the module hand on what it knows and take over calls that another process made

Relay.memory gives pace, told waits, answer times and the counts that bound copies and new tries; an attempt of an earlier life may still be out, holds its slot and gets its end.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -9,9 +9,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * The decision module. Its interface, with all types, events and actions, is Relay.java.
@@ -151,7 +153,7 @@
     private final Map<Long, Target> targets = new LinkedHashMap<>();
     private final Map<Long, Destination> destinations = new LinkedHashMap<>();
     /** What an earlier life knew of endpoints that no list has named in this one. */
-    private final Map<Long, Health> recalled = new LinkedHashMap<>();
+    private final Map<Long, Consumer<Target>> recalled = new LinkedHashMap<>();
     private final Map<Long, Delivery> deliveries = new LinkedHashMap<>();
     private final Set<Delivery> queue = new LinkedHashSet<>();
     private final Set<Attempt> out = new LinkedHashSet<>();
@@ -182,14 +184,8 @@
             targets.values().forEach(Target::leave);
         }
         for (Endpoint entry : entries) {
-            Destination destination = destination(entry.destination());
-            Target target = targets.get(entry.id());
-            if (target == null) {
-                target = new Target(entry, destination);
-                targets.put(entry.id(), target);
-                destination.targets.add(target);
-                Optional.ofNullable(recalled.remove(entry.id())).ifPresent(target::recall);
-            }
+            Target target = targets.computeIfAbsent(entry.id(), unknown -> new Target(entry));
+            Optional.ofNullable(recalled.remove(entry.id())).ifPresent(known -> known.accept(target));
             target.limit.listedRate = settings.ratesListed() ? entry.listedRate() / 1000 : 0;
             if (entry.gone()) {
                 target.leave();
@@ -213,10 +209,15 @@
         tick(now);
         Delivery d = take(message);
         for (EarlierAttempt earlier : attempts) {
-            d.attempts.add(new Attempt(d, Optional.ofNullable(targets.get(earlier.endpoint())), earlier));
+            Optional<Target> target = Optional.ofNullable(targets.get(earlier.endpoint()));
+            Attempt attempt = new Attempt(d, target, earlier.sentAt());
+            attempt.mayHaveRun = earlier.mayHaveRun();
+            if (earlier.outInCall().isPresent()) {
+                started(attempt, target.map(t -> t.adopt(earlier)), d.out > 0);
+            }
         }
         keys.resumed(d);
-        if (!attempts.isEmpty()) {
+        if (!attempts.isEmpty() && d.out == 0) {
             giveUpInTime(d);
         }
     }
@@ -224,14 +225,38 @@
     @Override
     public void recalled(double now, long endpoint, Health health) {
         tick(now);
+        whenListed(endpoint, target -> target.recall(health));
+    }
+
+    @Override
+    public void recalled(double now, Memory memory) {
+        tick(now);
+        memory.firstSendsAgo().forEach(ago -> firstSends.add(clock - ago));
+        memory.copiesAgo().forEach(ago -> copies.sent(clock - ago));
+        memory.retriesAgo().forEach(ago -> retries.sent(clock - ago));
+        memory.endpoints().forEach(known -> whenListed(known.endpoint(), target -> target.recall(known)));
+    }
+
+    private void whenListed(long endpoint, Consumer<Target> recall) {
         Target target = targets.get(endpoint);
         if (target == null) {
-            recalled.put(endpoint, health);
+            recalled.merge(endpoint, recall, Consumer::andThen);
         } else {
-            target.recall(health);
+            recall.accept(target);
         }
     }
 
+    @Override
+    public Memory memory(double now) {
+        tick(now);
+        return new Memory(targets.values().stream().map(Target::known).toList(), ago(firstSends),
+                ago(copies.extra), ago(retries.extra));
+    }
+
+    private List<Double> ago(Deque<Double> times) {
+        return times.stream().map(time -> clock - time).toList();
+    }
+
     @Override
     public void closing(double now, double end) {
         tick(now);
@@ -370,12 +395,8 @@
 
     /** Whether nothing but a slot keeps it from being sent. */
     private boolean lacksSlot(Delivery d) {
-        for (Target t : d.destination.targets) {
-            if (d.out == 0 && t.isOpen() && !t.hasSlot() && allows(d, t)) {
-                return true;
-            }
-        }
-        return false;
+        return d.out == 0 && d.destination.targets.stream()
+                .anyMatch(t -> t.isOpen() && !t.hasSlot() && allows(d, t));
     }
 
     /**
@@ -461,30 +482,39 @@
 
     private void send(Delivery d, Target target, boolean copy) {
         Call call = target.joinOrStart();
-        Attempt attempt = new Attempt(d, call);
-        d.attempts.add(attempt);
-        out.add(attempt);
-        d.out++;
-        queue.remove(d);
-        keys.attemptSent(d);
+        Attempt attempt = new Attempt(d, Optional.of(target), clock);
         if (copy) {
-            copies.sent();
+            copies.sent(clock);
         } else if (d.attempts.size() == 1) {
             firstSends.add(clock);
             trim(firstSends, THROTTLE_PERIOD_MS);
         } else if (d.refused) {
-            retries.sent();
+            retries.sent(clock);
         }
         double timeout = Math.min(target.timeout(d.type), d.deadline - clock);
         actions.send(d.message.id(), target.entry.id(), timeout);
+        started(attempt, Optional.of(call), copy);
+    }
+
+    /** An attempt is out, in a call if its endpoint is listed: it may be copied, and the call be overdue. */
+    private void started(Attempt attempt, Optional<Call> call, boolean copy) {
+        Delivery d = attempt.delivery;
+        attempt.call = call;
+        attempt.out = true;
+        out.add(attempt);
+        d.out++;
+        queue.remove(d);
+        keys.attemptSent(d);
         double offset = d.type.aimMs() * COPY_OFFSET;
-        timers.add(clock + offset, () -> offsetPassed(d, attempt, copy));
-        timers.add(clock + Math.max(offset, target.patience()), call::overdue);
+        if (!copy && clock <= attempt.sentAt + offset) {
+            timers.add(attempt.sentAt + offset, () -> offsetPassed(d, attempt));
+        }
+        call.ifPresent(c -> timers.add(attempt.sentAt + Math.max(offset, c.target.patience()), c::overdue));
     }
 
     /** The scheduled offset after a send: a copy may join the wave. */
-    private void offsetPassed(Delivery d, Attempt attempt, boolean copy) {
-        boolean races = attempt.out && d.type.effect() != Effect.UNSAFE && settings.copies() && !copy;
+    private void offsetPassed(Delivery d, Attempt attempt) {
+        boolean races = attempt.out && d.type.effect() != Effect.UNSAFE && settings.copies();
         if (races && !d.ended && slotsUsed < settings.slots() && copies.allows()) {
             choose(d, true).ifPresent(target -> send(d, target, true));
         }
@@ -566,15 +596,9 @@
 
     /** When the next gate opens by time alone for a message that waits. */
     private double nextOpening() {
-        double next = Double.POSITIVE_INFINITY;
-        for (Destination destination : destinations.values()) {
-            for (Target t : destination.targets) {
-                if (destination.seenTurn == turn && t.serving && t.gatesOpenAt() > clock) {
-                    next = Math.min(next, t.gatesOpenAt());
-                }
-            }
-        }
-        return next;
+        return destinations.values().stream().filter(to -> to.seenTurn == turn)
+                .flatMap(to -> to.targets.stream()).filter(t -> t.serving).mapToDouble(Target::gatesOpenAt)
+                .filter(at -> at > clock).min().orElse(Double.POSITIVE_INFINITY);
     }
 
     // ---- parts ----
@@ -625,32 +649,23 @@
     }
 
     /**
-     * One attempt of a message; those of an earlier life have no call and hold nothing, and their endpoint
-     * may have left the list since.
+     * One attempt of a message; those of an earlier life have no call and hold nothing, unless they are still
+     * out, and their endpoint may have left the list since.
      */
     private final class Attempt {
         final Delivery delivery;
-        final Optional<Call> call;
         final Optional<Target> target;
         final double sentAt;
+        Optional<Call> call = Optional.empty();
         boolean out;
         boolean mayHaveRun;
         boolean calledOff;
 
-        Attempt(Delivery delivery, Call call) {
+        Attempt(Delivery delivery, Optional<Target> target, double sentAt) {
             this.delivery = delivery;
-            this.call = Optional.of(call);
-            this.target = Optional.of(call.target);
-            this.sentAt = call.sentAt;
-            this.out = true;
-        }
-
-        Attempt(Delivery delivery, Optional<Target> target, EarlierAttempt earlier) {
-            this.delivery = delivery;
-            this.call = Optional.empty();
             this.target = target;
-            this.sentAt = earlier.sentAt();
-            this.mayHaveRun = earlier.mayHaveRun();
+            this.sentAt = sentAt;
+            delivery.attempts.add(this);
         }
 
         /** How long it has been out, by its endpoint's patience, which grows with calls called off before. */
@@ -667,16 +682,20 @@
     /** Messages that travel as one: one slot, one fate. */
     private final class Call {
         final Target target;
-        final double sentAt = clock;
+        final double sentAt;
         final long sentTurn = turn;
+        /** Its number in the process that made it, if that was another one. */
+        final OptionalLong earlier;
         final double idledMs;
         int items;
         int itemsOut;
         boolean observed;
         boolean late;
 
-        Call(Target target) {
+        Call(Target target, double sentAt, OptionalLong earlier) {
             this.target = target;
+            this.sentAt = sentAt;
+            this.earlier = earlier;
             this.idledMs = connections.take(target);
             target.usedAt = clock;
             slotsUsed++;
@@ -726,22 +745,13 @@
 
         /** Whether the pace, waits and health of any of its endpoints let a call pass. */
         boolean isOpen() {
-            for (Target t : targets) {
-                if (t.serving && (t.mayJoin() || t.limit.waitUntil <= clock && t.isOpen())) {
-                    return true;
-                }
-            }
-            return false;
+            return targets.stream()
+                    .anyMatch(t -> t.serving && (t.mayJoin() || t.limit.waitUntil <= clock && t.isOpen()));
         }
 
         /** Whether a slot is free for a call to any of its endpoints. */
         boolean hasSlot() {
-            for (Target t : targets) {
-                if (t.serving && t.hasSlot()) {
-                    return true;
-                }
-            }
-            return false;
+            return targets.stream().anyMatch(t -> t.serving && t.hasSlot());
         }
 
         /** When it is worth coming back: the first opening, or now where none is known. */
@@ -820,6 +830,18 @@
             rate = Math.max(floor(), rate * (1 + (quick ? PACE_GROWTH : PACE_PROBE)));
         }
 
+        void recall(Known known) {
+            told(known.waitLeftMs());
+            rate = known.pace();
+            nextAt = clock + 1 / rate;
+            edge = known.paceEdge();
+            cutAt = clock - known.paceCutAgoMs();
+            pressed = known.pressed();
+            toldRate = known.told();
+            sends.recall(known.sent());
+            destination.demand.recall(known.demand());
+        }
+
         /** This sender's even part of what the limit is known to take at the least. */
         double evenPart() {
             return Math.max(LISTED_SHARE * listedRate, TOLD_SHARE * toldRate) / settings.senders();
@@ -846,9 +868,10 @@
             at = clock;
         }
 
-        /** Watches again after a time that does not count. */
-        void resume() {
-            at = clock;
+        /** Goes on from a rate that another process saw. */
+        void recall(double perMs) {
+            events = perMs * CARRIED_MS;
+            over = CARRIED_MS;
         }
 
         double perMs() {
@@ -892,14 +915,29 @@
         double usedAt = Double.NEGATIVE_INFINITY;
         double goneAt = Double.POSITIVE_INFINITY;
 
-        Target(Endpoint entry, Destination destination) {
+        Target(Endpoint entry) {
             Kind kind = settings.kinds().get(Math.min(entry.kind(), settings.kinds().size() - 1));
             this.entry = entry;
-            this.destination = destination;
+            this.destination = Logic.this.destination(entry.destination());
             this.limit = kind.separateRoutes() ? new Limit(destination) : destination.shared;
             this.batch = kind.batch();
             boolean charged = kind.separateRoutes() && entry.zone() < settings.zoneFees().size();
             this.fee = charged ? settings.zoneFees().get(entry.zone()) : 0;
+            destination.targets.add(this);
+        }
+
+        Known known() {
+            return new Known(entry.id(), Math.max(0, limit.waitUntil - clock), limit.rate, limit.edge,
+                    clock - limit.cutAt, limit.pressed, limit.sends.perMs(), limit.toldRate,
+                    destination.demand.perMs(), carried.perMs(), latency, deviation, clock - lastGood);
+        }
+
+        void recall(Known known) {
+            limit.recall(known);
+            carried.recall(known.carried());
+            latency = known.latencyMs();
+            deviation = known.deviationMs();
+            lastGood = clock - known.goodAgoMs();
         }
 
         void leave() {
@@ -930,7 +968,7 @@
 
         Call joinOrStart() {
             if (!mayJoin()) {
-                latest = new Call(this);
+                latest = new Call(this, clock, OptionalLong.empty());
                 limit.sent();
                 nextAt = state == State.UP ? nextAt : clock + 1 / allowedRate();
             }
@@ -939,6 +977,14 @@
             return latest;
         }
 
+        /** The call of another process that an attempt is still out in: it holds its slot until it ends. */
+        Call adopt(EarlierAttempt attempt) {
+            Call call = calls.stream().filter(c -> c.earlier.equals(attempt.outInCall())).findFirst()
+                    .orElseGet(() -> new Call(this, attempt.sentAt(), attempt.outInCall()));
+            call.itemsOut++;
+            return call;
+        }
+
         /**
          * A destination may hold fewer slots than stay free, lest a slow or silent one holds them all. One
          * that answers quickly gives them back soon, so it may have all but one: else a quarter of them is
@@ -1088,7 +1134,8 @@
         private void up(String symptom) {
             state = State.UP;
             nextAt = clock;
-            carried.resume();
+            // The time of the outage does not count.
+            carried.at = clock;
             actions.log("endpoint " + entry.id() + " " + symptom);
             remember();
         }
@@ -1183,9 +1230,9 @@
             this.share = share;
         }
 
-        void sent() {
-            extra.add(clock);
-            timers.add(clock + THROTTLE_PERIOD_MS + CLOCK_MARGIN_MS, () -> { });
+        void sent(double at) {
+            extra.add(at);
+            timers.add(at + THROTTLE_PERIOD_MS + CLOCK_MARGIN_MS, () -> { });
         }
 
         boolean allows() {
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * The decision module's interface: what a sender tells it, what it tells the sender, and the values that
@@ -38,7 +39,8 @@
     /**
      * A message that an earlier life of this sender took comes back from its journal, with the attempts made
      * then, in their order; further ones are numbered on from these. One that was out when that life ended
-     * may have run; none of them holds a slot or gets an end any more. Messages come in the order taken.
+     * may have run, holds no slot and gets no end any more, unless it is still out: then the process that made it
+     * lives on to wait for it, and its end will be told. Messages come in the order taken.
      */
     void resumed(double now, Message message, List<EarlierAttempt> attempts);
 
@@ -48,6 +50,12 @@
      */
     void recalled(double now, long endpoint, Health health);
 
+    /** What this instance knows beside its messages and what {@link Actions#remember} told, for the next one. */
+    Memory memory(double now);
+
+    /** What the instance knew that this one takes over from; told before its messages, and at most once. */
+    void recalled(double now, Memory memory);
+
     /**
      * The sender will stop at this time: no call starts any more that can't be expected to end before it.
      */
@@ -168,8 +176,28 @@
             long destination) {
     }
 
-    /** An attempt made in an earlier life; {@code sentAt} is on this life's clock, mostly before its start. */
-    record EarlierAttempt(long endpoint, double sentAt, boolean mayHaveRun) {
+    /**
+     * An attempt made in an earlier life; {@code sentAt} is on this life's clock, mostly before its start. One that
+     * is still out names its call, which others may share.
+     */
+    record EarlierAttempt(long endpoint, double sentAt, boolean mayHaveRun, OptionalLong outInCall) {
+        /** One that nobody waits for any more. */
+        public EarlierAttempt(long endpoint, double sentAt, boolean mayHaveRun) {
+            this(endpoint, sentAt, mayHaveRun, OptionalLong.empty());
+        }
+    }
+
+    /**
+     * What one instance hands to the next: of each endpoint and its limit, and how long ago the sends were that
+     * bound copies and new tries, the oldest first.
+     */
+    record Memory(List<Known> endpoints, List<Double> firstSendsAgo, List<Double> copiesAgo, List<Double> retriesAgo) {
+    }
+
+    /** What is known of one endpoint; rates are in calls a millisecond, no pace is an infinite one. */
+    record Known(long endpoint, double waitLeftMs, double pace, double paceEdge, double paceCutAgoMs, int pressed,
+                 double sent, double told, double demand, double carried, double latencyMs, double deviationMs,
+                 double goodAgoMs) {
     }
 
     /** How many endpoints the list names, and how many of them get nothing new, or trials only. */
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import kestreldeal.Relay.Effect;
 import kestreldeal.Relay.Outcome;
@@ -824,6 +825,96 @@
         assertTrue(b.sends.size() >= 5, "no slot is lost to what was out at the death");
     }
 
+    private static Relay.EarlierAttempt stillOut(double agoMs, long call) {
+        return new Relay.EarlierAttempt(10, 20_000 - agoMs, true, OptionalLong.of(call));
+    }
+
+    @Test
+    void anAttemptThatAnotherProcessWaitsForIsOutAndGetsItsEnd() {
+        Bench b = resumed(UNSAFE, 9000, stillOut(500, 3));
+        b.until(21_000);
+        assertTrue(b.sends.isEmpty() && b.answers.isEmpty(), "neither repeated nor given up");
+        b.end(1, 0, Outcome.FULL);
+        b.until(23_000);
+        assertEquals(List.of(1L), b.sent(), "it never ran, so it goes again");
+        Bench failed = resumed(UNSAFE, 9000, stillOut(500, 3));
+        failed.end(1, 0, Outcome.BROKEN);
+        assertEquals(List.of("fail 1"), failed.answers);
+    }
+
+    @Test
+    void attemptsOfOneCallOfAnotherProcessHoldOneSlotUntilTheLastHasEnded() {
+        Bench b = new Bench(2).list(1, 10).list(2, 20).list(3, 30);
+        b.until(20_000);
+        b.resumeInTurn(1, SAFE, 1, 9000, List.of(stillOut(50, 3)));
+        b.resume(2, SAFE, 1, 9000, List.of(stillOut(50, 3)));
+        b.take(3, UNSAFE, 2);
+        assertEquals(List.of(3L), b.sent(), "one slot was left");
+        b.take(4, UNSAFE, 3);
+        b.end(1, 0, Outcome.DELIVERED);
+        assertEquals(List.of(3L), b.sent(), "the call is still out");
+        b.end(2, 0, Outcome.DELIVERED);
+        b.until(20_100);
+        assertEquals(List.of(3L, 4L), b.sent());
+    }
+
+    @Test
+    void whatIsOutInAnotherProcessIsCopiedAtItsOffsetAndCancelled() {
+        Bench b = resumed(SAFE, 9000, stillOut(500, 3));
+        double offset = CLASSES.get(SAFE).aimMs() / 2;
+        b.until(20_000 - 500 + offset - 10);
+        assertTrue(b.sends.isEmpty());
+        b.until(20_000 - 500 + offset + 10);
+        assertEquals(List.of(1L), b.sent());
+        b.end(1, 1, Outcome.DELIVERED);
+        assertEquals(List.of("1/0"), b.cancels);
+        Bench late = resumed(SAFE, 9000, stillOut(offset + 100, 3));
+        late.until(20_500);
+        assertTrue(late.sends.isEmpty(), "its offset passed in the other process");
+    }
+
+    /** One instance has worked for a while; another takes over what it knew. */
+    private static Bench successor(Bench before, long... endpoints) {
+        Bench after = new Bench().list(1, endpoints);
+        after.until(5000);
+        after.relay.recalled(after.now, before.relay.memory(before.now));
+        return after;
+    }
+
+    @Test
+    void aToldWaitIsKeptByTheNextProcess() {
+        Bench before = new Bench().list(1, 10);
+        before.take(1, SAFE, 1);
+        before.end(1, 0, Outcome.FULL, 900);
+        for (Bench after : List.of(successor(before, 10), successor(before).list(1, 10))) {
+            after.take(1, SAFE, 1);
+            after.until(5895);
+            assertTrue(after.sends.isEmpty(), "the wait stands, be the endpoint listed before or after");
+            after.until(6500);
+            assertEquals(List.of(1L), after.sent());
+        }
+    }
+
+    @Test
+    void paceAndCopiesAreBoundedAcrossProcesses() {
+        Bench before = new Bench(100, 1).list(1, 10, 11);
+        before.onSend = s -> before.endLater(s, s.at() > 900 ? Outcome.FULL : Outcome.DELIVERED, 20);
+        before.takeEvery(50, SAFE, 1, 1000);
+        Bench paced = successor(before, 10, 11);
+        paced.takeTogether(20, SAFE, 1);
+        paced.until(5010);
+        assertTrue(paced.sends.size() <= 2, "a pace holds for the next process: " + paced.sends.size());
+
+        Bench copied = new Bench().list(1, 10, 11);
+        copied.takeTogether(2, SAFE, 1);
+        copied.until(CLASSES.get(SAFE).aimMs() / 2 + 10);
+        assertEquals(3, copied.sends.size(), "one copy for two first sends");
+        Bench after = successor(copied, 10, 11);
+        after.takeTogether(2, SAFE, 1);
+        after.until(5000 + CLASSES.get(SAFE).aimMs() / 2 + 10);
+        assertEquals(2, after.sends.size(), "the copy of the other process counts for ten seconds");
+    }
+
     @Test
     void aKeyedMessageIsRepeatedAfterARestartOnlyWithinItsWindow() {
         assertEquals(List.of(1L), resumed(KEYED, 9000, earlier(1000, true)).sent());
