--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -198,6 +198,11 @@
     record Known(long endpoint, double waitLeftMs, double pace, double paceEdge, double paceCutAgoMs, int pressed,
                  double sent, double told, double demand, double carried, double latencyMs, double deviationMs,
                  double goodAgoMs) {
+        /** The same under the number that another process has for the endpoint. */
+        public Known at(long number) {
+            return new Known(number, waitLeftMs, pace, paceEdge, paceCutAgoMs, pressed, sent, told, demand, carried,
+                    latencyMs, deviationMs, goodAgoMs);
+        }
     }
 
     /** How many endpoints the list names, and how many of them get nothing new, or trials only. */
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -87,6 +87,7 @@
     private final Map<Long, Peer> peers = new HashMap<>();
     private final IdleTrust trust = new IdleTrust();
     private int idle;
+    private long posts;
 
     Endpoints(EventLoop loop, double dialMs, double keepAliveMs, int mostIdle, Ends ends) {
         this.loop = loop;
@@ -161,6 +162,11 @@
         }
     }
 
+    /** Closes all idle connections: another process calls the endpoints now. */
+    void closeIdle() {
+        peers.keySet().forEach(this::closeIdle);
+    }
+
     /** Idle connections that are kept. */
     int kept() {
         return idle;
@@ -221,6 +227,11 @@
             this.timeoutMs = timeoutMs;
         }
 
+        /** A number that those have in common which travel together. */
+        long post() {
+            return post.number;
+        }
+
         private void timedOut() {
             end(post.mayArrive() ? Outcome.TIMED_OUT : Outcome.UNREACHABLE);
             post.closeIfOver();
@@ -267,6 +278,7 @@
 
     /** The calls of one turn to one endpoint: they travel as one request, on one connection, in one slot. */
     private final class Post {
+        final long number = ++posts;
         /** What has a form of its own in the body of several: no blanks, and not the mark of what is absent. */
         private static final Pattern WORD = Pattern.compile("[!-~]+");
         private static final String NO_KEY = "-";
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.DecoderResult;
@@ -33,6 +34,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.EnumMap;
@@ -42,6 +44,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import kestreldeal.BadInput;
 
 /**
@@ -89,6 +92,15 @@
         /** Whether a list has ever named this destination, be its endpoints away or not. */
         boolean knowsDestination(long destination);
 
+        /** Whether another process decides on what is handed in here. */
+        default boolean handsOn() {
+            return false;
+        }
+
+        /** Lets the other process answer, a little later. */
+        default void handOn(Submission submission, Consumer<HttpResponseStatus> answer) {
+        }
+
         /** How a message with this id was answered before, if one is held, or was until a moment ago. */
         Optional<HttpResponseStatus> answeredBefore(String id);
 
@@ -105,7 +117,7 @@
 
     private final EventLoop loop;
     private final Desk desk;
-    private final int mostClients;
+    private int mostClients;
     /** The connections in each state, those that are in it longest first. */
     private final Map<State, Set<Client>> clients = new EnumMap<>(State.class);
     private final ServerBootstrap bootstrap;
@@ -113,6 +125,8 @@
     private boolean closing;
     /** Clients are sent away, but what they hand in all the same is taken. */
     private boolean away;
+    /** Another process has taken over, or is about to. */
+    private boolean leaving;
 
     Intake(EventLoop loop, int mostClients, Desk desk) {
         this.loop = loop;
@@ -125,6 +139,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 // Reads until nothing is left, so that a close behind a request is seen with it.
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
@@ -140,10 +155,11 @@
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Begins to listen, and waits until it does: so it is not called on the loop. */
-    InetSocketAddress listen(InetSocketAddress address) {
-        listener = bootstrap.bind(address).syncUninterruptibly().channel();
-        return (InetSocketAddress) listener.localAddress();
+    /** Begins to listen, beside another process that does so at the same address. */
+    ChannelFuture listen(InetSocketAddress address) {
+        ChannelFuture bound = bootstrap.bind(address);
+        listener = bound.channel();
+        return bound;
     }
 
     /**
@@ -164,6 +180,25 @@
         away = clientsAway;
     }
 
+    /**
+     * Another process takes clients from now on: each connection here ends with its next answer, and none waits for
+     * long. {@link #leave} ends the listening, once the other one listens.
+     */
+    void handOver() {
+        leaving = true;
+        away = false;
+    }
+
+    /** New connections are another process's. Not at once: those that have come are taken first. */
+    void leave() {
+        loop.execute(listener::close);
+    }
+
+    /** Another process shares the descriptors, or does not any more. */
+    void bound(int most) {
+        mostClients = most;
+    }
+
     /** Connections that clients have open. */
     int clients() {
         return clients.values().stream().mapToInt(Set::size).sum();
@@ -374,6 +409,12 @@
                 end(request, HttpResponseStatus.BAD_REQUEST, bad.getMessage());
                 return;
             }
+            if (desk.handsOn()) {
+                // Not to make room for others before it is answered.
+                enter(State.ASKING);
+                desk.handOn(submission, this::lastOf);
+                return;
+            }
             Optional<HttpResponseStatus> before = desk.answeredBefore(submission.id());
             if (before.isPresent()) {
                 end(request, before.get(), "");
@@ -399,9 +440,18 @@
 
         private ChannelFuture end(FullHttpRequest request, HttpResponseStatus status, String text) {
             FullHttpResponse answer = answer(status, request.method().equals(HttpMethod.HEAD) ? "" : text);
-            if (!closing && !away && HttpUtil.isKeepAlive(request)) {
-                return channel.writeAndFlush(answer);
+            return !closing && !away && !leaving && HttpUtil.isKeepAlive(request) ? channel.writeAndFlush(answer)
+                    : endWith(answer);
+        }
+
+        /** The other process has answered, unless the client was told before that it took too long. */
+        private void lastOf(HttpResponseStatus status) {
+            if (state != State.ENDING) {
+                endWith(answer(status, ""));
             }
+        }
+
+        private ChannelFuture endWith(FullHttpResponse answer) {
             enter(State.ENDING);
             answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             return channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -43,8 +44,8 @@
     /** Room for the later records of a message: for each attempt, and for its end. */
     private static final int ATTEMPT_ROOM = 128;
     private static final int END_ROOM = 64;
-    /** Files count in whole blocks: two files, and a block to spare. */
-    private static final int BLOCKS = 3 * 512;
+    /** Files count in whole blocks: two files, those of {@link Succession}, and a block to spare. */
+    private static final int BLOCKS = 5 * 512;
 
     private final Path file;
     private final Path next;
@@ -146,6 +147,16 @@
         liveBytes += (health.containsKey(endpoint) ? bytes : 0) - (before ? bytes : 0);
     }
 
+    /** Leaves the file to another process, which reads it all: only what is live is left in it. */
+    void handOver() {
+        try {
+            compact();
+        } catch (IOException e) {
+            Log.line("the journal is handed over as it is: " + e.getMessage());
+        }
+        close();
+    }
+
     /** Bytes of the file now. */
     long size() {
         return size;
@@ -248,6 +259,10 @@
     }
 
     private void write(byte[] record) throws IOException {
+        if (!channel.isOpen()) {
+            // The file may be another process's by now: a compaction would put this one's in its place.
+            throw new ClosedChannelException();
+        }
         if (size + liveBytes + 2L * record.length > bound) {
             compact();
         }
--- /dev/null
+++ b/src/main/java/kestreldeal/net/Link.java
@@ -0,0 +1,111 @@
+package kestreldeal.net;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioDomainSocketChannel;
+import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.UnixDomainSocketAddress;
+import java.nio.file.Path;
+
+/**
+ * A connection between two processes of one sender, over a socket in their folder: what is told is JSON, each with
+ * its length before it, and heard in the order told. That the other process is gone shows as the close.
+ */
+final class Link extends SimpleChannelInboundHandler<ByteBuf> {
+    private static final int LENGTH_BYTES = 4;
+    private static final int LONGEST = 16 << 20;
+    private static final JsonMapper JSON = JsonMapper.builder().build();
+
+    /** What is done with what the other process tells. */
+    interface Ear {
+        void opened(Link link);
+
+        void heard(Link link, JsonNode told) throws IOException;
+
+        void closed(Link link);
+    }
+
+    private final Ear ear;
+    private Channel channel;
+
+    private Link(Ear ear) {
+        this.ear = ear;
+    }
+
+    /** Takes links at this path, in the place of whoever took them before. */
+    static ChannelFuture listen(EventLoop loop, Path path, Ear ear) {
+        return new ServerBootstrap().group(loop, loop).channel(NioServerDomainSocketChannel.class)
+                .childHandler(initializer(ear)).bind(UnixDomainSocketAddress.of(path));
+    }
+
+    /** Links to the process that listens at this path; without one the future fails. */
+    static ChannelFuture connect(EventLoop loop, Path path, Ear ear) {
+        return new Bootstrap().group(loop).channel(NioDomainSocketChannel.class)
+                .handler(initializer(ear)).connect(UnixDomainSocketAddress.of(path));
+    }
+
+    private static ChannelInitializer<Channel> initializer(Ear ear) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(
+                        new LengthFieldBasedFrameDecoder(LONGEST, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+                        new LengthFieldPrepender(LENGTH_BYTES), new Link(ear));
+            }
+        };
+    }
+
+    void tell(ObjectNode what) {
+        try {
+            channel.writeAndFlush(Unpooled.wrappedBuffer(JSON.writeValueAsBytes(what)));
+        } catch (IOException e) {
+            throw new IllegalArgumentException("not to be told: " + what, e);
+        }
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        ear.opened(this);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) throws IOException {
+        try (InputStream in = new ByteBufInputStream(frame)) {
+            ear.heard(this, JSON.readTree(in));
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        ear.closed(this);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            Log.line("the link to the other process is closed: " + cause);
+        }
+        ctx.close();
+    }
+}
--- a/src/main/java/kestreldeal/net/Notices.java
+++ b/src/main/java/kestreldeal/net/Notices.java
@@ -38,6 +38,7 @@
     private List<Held> told = List.of();
     private Agent agent;
     private boolean pausing;
+    private boolean stopped;
 
     Notices(EventLoop loop, Agent agent, Consumer<Held> heard) {
         this.loop = loop;
@@ -64,8 +65,16 @@
         tell();
     }
 
+    /** Tells nothing more: another process does, also what this one has not heard the answer to. */
+    void stop() {
+        stopped = true;
+        agent.close();
+        waiting.clear();
+        told = List.of();
+    }
+
     private void tell() {
-        if (pausing || !told.isEmpty() || waiting.isEmpty()) {
+        if (stopped || pausing || !told.isEmpty() || waiting.isEmpty()) {
             return;
         }
         ByteArrayOutputStream body = new ByteArrayOutputStream();
--- a/src/main/java/kestreldeal/net/Ops.java
+++ b/src/main/java/kestreldeal/net/Ops.java
@@ -19,6 +19,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -51,6 +52,7 @@
     private final ServerBootstrap bootstrap;
     /** Connections that have not asked yet, the oldest first. */
     private final Set<Channel> asking = new LinkedHashSet<>();
+    private Optional<Channel> listener = Optional.empty();
     private int open;
 
     Ops(EventLoop loop, Desk desk) {
@@ -73,7 +75,13 @@
 
     /** Begins to listen, and waits until it does: so it is not called on the loop. */
     InetSocketAddress listen(InetSocketAddress address) {
-        return (InetSocketAddress) bootstrap.bind(address).syncUninterruptibly().channel().localAddress();
+        listener = Optional.of(bootstrap.bind(address).syncUninterruptibly().channel());
+        return (InetSocketAddress) listener.get().localAddress();
+    }
+
+    /** Listens no more. */
+    void close() {
+        listener.ifPresent(Channel::close);
     }
 
     private String answer(String call) {
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -1,5 +1,6 @@
 package kestreldeal.net;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -14,9 +15,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import kestreldeal.BadInput;
 import kestreldeal.Relay;
 
@@ -42,6 +45,8 @@
     /** From SIGTERM: calls out may last till here; SIGKILL may come at 3.7 s. */
     static final long CLOSING_MS = 3300;
     private static final long DRAIN_POLL_MS = 20;
+    /** A process that has taken over has to listen, even if the address is not free yet. */
+    private static final long LISTEN_AGAIN_MS = 50;
     /** A keyed repeat is written so long before its window ends: it still has to arrive. */
     private static final double WRITTEN_MARGIN_MS = 150;
     /** An endpoint that has left the list is forgotten after so long: no call lasts till then. */
@@ -89,8 +94,19 @@
     private boolean turnOpen;
     private double clock;
     private boolean closing;
+    private int mostClients;
     /** A list is known and the journal is replayed. */
     private boolean ready;
+    private boolean listed;
+    private Succession succession;
+    /** What the process before told of itself, until the journal is replayed. */
+    private Optional<Succession.Legacy> legacy = Optional.empty();
+    /** Attempts that the process before made and waits for. */
+    private final Map<Out, Held> elsewhere = new HashMap<>();
+    /** Another process has taken over: nothing is decided here any more. */
+    private boolean handedOver;
+    private Optional<ChannelFuture> listening = Optional.empty();
+    private final Clients clients = new Clients();
 
     private record Out(long message, int attempt) {
     }
@@ -120,13 +136,15 @@
         }
     }
 
-    /** Replays the journal and begins to serve; returns the address when clients can connect to it. */
+    /**
+     * Begins to serve, or to follow the process that does; returns the address when clients can connect to it, or
+     * as configured where they can't yet.
+     */
     InetSocketAddress start() throws IOException {
         loop.submit(this::open).syncUninterruptibly();
         operators = config.ops().map(ops::listen).orElse(null);
-        InetSocketAddress address = intake.listen(config.listen());
-        Log.line(config.name() + " listens at " + Endpoints.hostPort(address));
-        return address;
+        return listening.map(bound -> (InetSocketAddress) bound.syncUninterruptibly().channel().localAddress())
+                .orElse(config.listen());
     }
 
     InetSocketAddress operators() {
@@ -134,21 +152,46 @@
     }
 
     private Void open() throws IOException {
-        journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts());
         int sockets = Math.max(config.sockets() - OTHER_SOCKETS, 64);
-        int mostClients = (int) (sockets * CLIENT_SHARE);
+        mostClients = (int) (sockets * CLIENT_SHARE);
         int mostIdle = Math.max(1, sockets - mostClients - config.settings().slots());
         endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(), mostIdle,
                 new Calls());
         agentAddress = config.discovery();
         notices = new Notices(loop, new Agent(loop, agentAddress), this::heard);
-        intake = new Intake(loop, mostClients, new Clients());
+        intake = new Intake(loop, mostClients, clients);
         ops = new Ops(loop, new Operators());
         discovery = new Discovery(loop, new Agent(loop, agentAddress), this::listed);
+        succession = new Succession(loop, config.state(), new Successor());
+        succession.start();
         discovery.start(config.known());
         return null;
     }
 
+    private void listen() {
+        ChannelFuture bound = intake.listen(config.listen());
+        listening = Optional.of(bound);
+        bound.addListener(f -> {
+            if (f.isSuccess()) {
+                Log.line(config.name() + " listens at "
+                        + Endpoints.hostPort((InetSocketAddress) bound.channel().localAddress()));
+                succession.listens();
+            } else {
+                Log.line("can't listen: " + f.cause().getMessage());
+                loop.schedule(this::listen, LISTEN_AGAIN_MS, TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    /** Takes up what is held, once this process leads and a list is known. */
+    private void begin() {
+        if (ready || journal == null || !listed) {
+            return;
+        }
+        ready = true;
+        event(this::replay);
+    }
+
     /**
      * Reads the configuration again, on the caller's thread, since a file may be slow. Only discovery's
      * address is taken over: all else holds for the life of a process. A file that can't be read, or names no
@@ -179,6 +222,11 @@
     private void replay() {
         long wall = System.currentTimeMillis();
         int resumed = 0;
+        legacy.ifPresent(this::recall);
+        Map<Out, Long> outBefore = new HashMap<>();
+        legacy.filter(l -> succession.hasPredecessor()).ifPresent(l ->
+                l.out().forEach(o -> outBefore.put(new Out(o.message(), o.attempt()), o.call())));
+        legacy = Optional.empty();
         journal.health().forEach((id, health) -> {
             double now = openTurn();
             double since = now - Math.max(0, wall - health.sinceMs());
@@ -200,7 +248,11 @@
             for (Held.Attempt a : held.attempts) {
                 // A wall clock that was set back must not move a send into the future.
                 double sentAt = now - Math.max(0, wall - a.sentAtMs);
-                earlier.add(new Relay.EarlierAttempt(endpointNumber(a.endpoint), sentAt, !a.neverRan));
+                Out out = new Out(held.number, earlier.size());
+                OptionalLong call = outBefore.containsKey(out) ? OptionalLong.of(outBefore.get(out))
+                        : OptionalLong.empty();
+                call.ifPresent(c -> elsewhere.put(out, held));
+                earlier.add(new Relay.EarlierAttempt(endpointNumber(a.endpoint), sentAt, !a.neverRan, call));
             }
             open.put(held.number, held);
             byId.put(held.id, held);
@@ -211,6 +263,16 @@
         Log.line(config.name() + " is ready, with " + resumed + " messages from its journal");
     }
 
+    private void recall(Succession.Legacy told) {
+        ended.putAll(told.ended());
+        List<Relay.Known> known = new ArrayList<>();
+        for (Relay.Known k : told.memory().endpoints()) {
+            known.add(k.at(endpointNumber(told.endpoints().get(known.size()))));
+        }
+        relay.recalled(openTurn(), new Relay.Memory(known, told.memory().firstSendsAgo(),
+                told.memory().copiesAgo(), told.memory().retriesAgo()));
+    }
+
     private Relay.Message message(Held held, int messageClass, double leftMs) {
         double left = Math.min(leftMs, config.settings().classes().get(messageClass).deadlineMs());
         return new Relay.Message(held.number, messageClass, Math.max(0, config.tenants().indexOf(held.tenant)),
@@ -230,13 +292,8 @@
     }
 
     private void endTurn() {
-        try {
-            relay.endTurn(clock);
-        } catch (RuntimeException e) {
-            fault(e);
-        } finally {
-            turnOpen = false;
-        }
+        event(() -> relay.endTurn(clock));
+        turnOpen = false;
     }
 
     /** A fault in one message's handling must not take the others down with the process. */
@@ -245,6 +302,9 @@
     }
 
     private void event(Runnable told) {
+        if (handedOver) {
+            return;
+        }
         try {
             told.run();
         } catch (RuntimeException e) {
@@ -277,6 +337,8 @@
         Endpoints.Call call = calls.get(new Out(message, attempt));
         if (call != null) {
             endpoints.cancel(call);
+        } else if (elsewhere.containsKey(new Out(message, attempt))) {
+            succession.callOff(message, attempt);
         }
     }
 
@@ -345,6 +407,11 @@
                 double toldRate) {
             calls.remove(new Out(call.held.number, call.attempt));
             double took = (System.nanoTime() - call.startedNanos) / 1e6;
+            if (handedOver) {
+                succession.tellEnd(new Succession.OutEnd(call.held.number, call.attempt, outcome, gone, waitMs,
+                        toldRate, took));
+                return;
+            }
             attemptEnded(call.held, call.attempt, outcome, gone, waitMs, toldRate, took);
         }
 
@@ -415,10 +482,8 @@
         }
         forgetGone(whole, entries);
         event(() -> relay.endpoints(openTurn(), whole, list));
-        if (!ready) {
-            ready = true;
-            event(this::replay);
-        }
+        listed = true;
+        begin();
     }
 
     /** Later than the module does, lest it name one that is no longer known here. */
@@ -460,7 +525,7 @@
     private final class Clients implements Intake.Desk {
         @Override
         public boolean ready() {
-            return ready && !closing;
+            return ready && !closing || handedOver;
         }
 
         @Override
@@ -484,6 +549,16 @@
             return destinations.contains(destination);
         }
 
+        @Override
+        public boolean handsOn() {
+            return handedOver;
+        }
+
+        @Override
+        public void handOn(Intake.Submission submission, Consumer<HttpResponseStatus> answer) {
+            succession.handOn(submission, answer);
+        }
+
         @Override
         public void turnedAway(String messageClass) {
             figures.ended(messageClass, Figures.End.REJECTED);
@@ -522,7 +597,7 @@
 
         @Override
         public void answered(Held held, boolean heard) {
-            if (held.told || held.over) {
+            if (held.told || held.over || handedOver) {
                 return;
             }
             held.told = heard;
@@ -542,7 +617,7 @@
     private final class Operators implements Ops.Desk {
         @Override
         public boolean serves() {
-            return ready && !closing;
+            return !closing && (ready || listed && succession.follows());
         }
 
         @Override
@@ -558,6 +633,89 @@
         }
     }
 
+    /** The side of the processes before and after this one. */
+    private final class Successor implements Succession.Heir {
+        @Override
+        public void lead(Optional<Succession.Legacy> told) throws IOException {
+            journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts());
+            legacy = told;
+            if (succession.hasPredecessor()) {
+                intake.bound(mostClients / 2);
+            }
+            begin();
+            listen();
+        }
+
+        @Override
+        public Succession.Legacy legacy() {
+            Relay.Memory memory = relay.memory(openTurn());
+            List<Succession.OutAttempt> out = new ArrayList<>();
+            calls.forEach((o, call) -> out.add(new Succession.OutAttempt(o.message(), o.attempt(), call.post())));
+            return new Succession.Legacy(ended, out,
+                    memory.endpoints().stream().map(known -> endpointIds.get(known.endpoint())).toList(), memory);
+        }
+
+        @Override
+        public void relieved() {
+            intake.leave();
+        }
+
+        /** Its client hears the answer from the other process, but it is taken on here. */
+        @Override
+        public HttpResponseStatus handedIn(Intake.Submission s) {
+            Optional<HttpResponseStatus> before = clients.answeredBefore(s.id());
+            if (before.isPresent()) {
+                return before.get();
+            }
+            Optional<Held> taken = clients.knowsDestination(s.destination()) ? clients.take(s) : Optional.empty();
+            taken.ifPresentOrElse(held -> clients.answered(held, true), () -> clients.turnedAway(s.messageClass()));
+            return taken.isPresent() ? HttpResponseStatus.ACCEPTED : HttpResponseStatus.SERVICE_UNAVAILABLE;
+        }
+
+        @Override
+        public void ended(Succession.OutEnd end) {
+            Held held = elsewhere.remove(new Out(end.message(), end.attempt()));
+            if (held != null) {
+                attemptEnded(held, end.attempt(), end.outcome(), end.gone(), end.waitMs(), end.toldRate(),
+                        end.tookMs());
+            }
+        }
+
+        @Override
+        public void calledOff(long message, int attempt) {
+            cancel(message, attempt);
+        }
+
+        /** What it had out may have run; its journal has been this process's for long. */
+        @Override
+        public void left() {
+            Log.line("the process before has left, with " + elsewhere.size() + " attempts out");
+            Map<Out, Held> lost = new HashMap<>(elsewhere);
+            elsewhere.clear();
+            lost.forEach((out, held) -> attemptEnded(held, out.attempt(), Relay.Outcome.BROKEN, false, 0, 0, 0));
+            intake.bound(mostClients);
+        }
+    }
+
+    /**
+     * Hands all that is held to the process that follows. It decides from here on; this one still waits for the
+     * calls that are out, and for requests on the connections that clients have here.
+     */
+    private void handOver() {
+        Succession.Legacy told = new Successor().legacy();
+        handedOver = true;
+        closing = true;
+        notices.stop();
+        journal.handOver();
+        succession.handOver(told);
+        intake.handOver();
+        endpoints.closeIdle();
+        Log.line(config.name() + " has handed over " + open.size() + " messages, " + told.out().size()
+                + " attempts out");
+        open.clear();
+        byId.clear();
+    }
+
     // ---- the end ----
 
     /**
@@ -567,7 +725,17 @@
     void drain() {
         long begun = System.nanoTime();
         loop.execute(() -> {
+            if (succession.hasFollower()) {
+                handOver();
+                awaitIdle(begun);
+                return;
+            }
             closing = true;
+            if (journal == null) {
+                // It only followed: nothing is held here.
+                stopped.countDown();
+                return;
+            }
             event(() -> relay.closing(openTurn(), clock + closingMs));
             loop.schedule(() -> {
                 intake.close();
@@ -582,10 +750,11 @@
     }
 
     private void awaitIdle(long begun) {
-        boolean idle = open.isEmpty() && notices.owed() == 0 && intake.clients() == 0;
+        boolean idle = open.isEmpty() && notices.owed() == 0 && intake.clients() == 0
+                && (!handedOver || calls.isEmpty());
         if (idle || System.nanoTime() - begun >= TimeUnit.MILLISECONDS.toNanos(closingMs)) {
-            Log.line(config.name() + " ends; its journal holds " + open.size() + " messages and "
-                    + notices.owed() + " notices");
+            Log.line(config.name() + " ends; " + (handedOver ? calls.size() + " attempts are out"
+                    : "its journal holds " + open.size() + " messages and " + notices.owed() + " notices"));
             stopped.countDown();
             return;
         }
@@ -594,7 +763,14 @@
 
     /** Lets go of everything at once, as the end of the process would: the journal first. */
     void kill() {
-        loop.submit(journal::close).syncUninterruptibly();
+        loop.submit(() -> {
+            succession.close();
+            ops.close();
+            if (journal != null) {
+                journal.close();
+                intake.leave();
+            }
+        }).syncUninterruptibly();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 }
--- /dev/null
+++ b/src/main/java/kestreldeal/net/Succession.java
@@ -0,0 +1,312 @@
+package kestreldeal.net;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import kestreldeal.Relay;
+
+/**
+ * How one process of a sender takes over from another while both run. The one that leads holds the {@link Helm}.
+ * One that starts beside it follows: it links to the leader and waits. A leader that is told to end hands on the
+ * helm with its {@link Legacy}, then what its clients still hand in and how its calls end; one that dies has handed
+ * on its journal at least, since the helm is then free.
+ */
+final class Succession {
+    /** Between looks whether the leader can be linked to, or is gone. */
+    private static final long SEEK_MS = 50;
+
+    /**
+     * What the leader hands on beside the journal: ids of messages that were over last, and whether they were
+     * delivered; the attempts that are out; what the module knows, the endpoints by their ids.
+     */
+    record Legacy(Map<String, Boolean> ended, List<OutAttempt> out, List<String> endpoints, Relay.Memory memory) {
+    }
+
+    /** An attempt that the process before made and waits for; those of one call travel together. */
+    record OutAttempt(long message, int attempt, long call) {
+    }
+
+    /** How an attempt ended that the process before made. */
+    record OutEnd(long message, int attempt, Relay.Outcome outcome, boolean gone, double waitMs, double toldRate,
+                  double tookMs) {
+    }
+
+    /** The sender's side. */
+    interface Heir {
+        /** This process leads from now on, with what the one before told, if it could. */
+        void lead(Optional<Legacy> legacy) throws IOException;
+
+        /** What this leader would hand on now. */
+        Legacy legacy();
+
+        /** The process that leads now takes clients: this one need not any more. */
+        void relieved();
+
+        /** The process before was handed in a message. */
+        HttpResponseStatus handedIn(Intake.Submission submission);
+
+        /** An attempt of the process before has ended. */
+        void ended(OutEnd end);
+
+        /** The process that leads now stops waiting for an attempt that was made here. */
+        void calledOff(long message, int attempt);
+
+        /** The process before is gone, with all that it had out. */
+        void left();
+    }
+
+    private final EventLoop loop;
+    private final Helm helm;
+    private final Path socket;
+    private final Heir heir;
+    private final JsonMapper json = JsonMapper.builder()
+            // A later release may tell more.
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
+    /** A follower's link to its leader, or what was its leader. */
+    private Optional<Link> before = Optional.empty();
+    /** The follower that takes over next, or has. */
+    private Optional<Link> next = Optional.empty();
+    private Channel listener;
+    private boolean leads;
+    private boolean welcome;
+    private boolean closed;
+    /** What waits for the word of the process that leads now. */
+    private final Map<Long, Consumer<HttpResponseStatus>> asked = new HashMap<>();
+    private long asks;
+
+    Succession(EventLoop loop, Path folder, Heir heir) {
+        this.loop = loop;
+        this.helm = new Helm(folder);
+        this.socket = folder.resolve("helm.sock");
+        this.heir = heir;
+    }
+
+    /** Leads at once if no other process does, else follows. */
+    void start() throws IOException {
+        if (helm.take()) {
+            lead(Optional.empty());
+        } else {
+            Log.line("another process leads; this one follows");
+            seek();
+        }
+    }
+
+    /** Whether a leader knows of this process, so that it can take over without a gap. */
+    boolean follows() {
+        return !leads && welcome;
+    }
+
+    /** Whether the process that this one took over from still lives. */
+    boolean hasPredecessor() {
+        return leads && before.isPresent();
+    }
+
+    private void lead(Optional<Legacy> legacy) throws IOException {
+        leads = true;
+        heir.lead(legacy);
+        listen();
+    }
+
+    /** The path may be that of a process that was; without a socket there, a successor starts after the end. */
+    private void listen() {
+        try {
+            Files.deleteIfExists(socket);
+            ChannelFuture bound = Link.listen(loop, socket, new Follower());
+            listener = bound.channel();
+            bound.addListener(f -> {
+                if (!f.isSuccess()) {
+                    Log.line("no process can take over while this one runs: " + f.cause().getMessage());
+                }
+            });
+        } catch (IOException | RuntimeException e) {
+            Log.line("no process can take over while this one runs: " + e.getMessage());
+        }
+    }
+
+    // ---- as a follower ----
+
+    private void seek() {
+        if (closed) {
+            return;
+        }
+        try {
+            if (helm.take()) {
+                lead(Optional.empty());
+                return;
+            }
+        } catch (IOException e) {
+            Log.line("can't lead yet: " + e.getMessage());
+        }
+        Link.connect(loop, socket, new Leader()).addListener(f -> {
+            if (!f.isSuccess()) {
+                seekLater();
+            }
+        });
+    }
+
+    private void seekLater() {
+        loop.schedule(this::seek, SEEK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** What the leader told goes with the helm, which it left before it told. */
+    private void takeOver(Legacy legacy) throws IOException {
+        if (helm.take()) {
+            lead(Optional.of(legacy));
+        } else {
+            Log.line("another process has taken the helm");
+        }
+    }
+
+    /** The word of the process before this one. */
+    private final class Leader implements Link.Ear {
+        @Override
+        public void opened(Link link) {
+            before = Optional.of(link);
+            link.tell(message("follow"));
+        }
+
+        @Override
+        public void heard(Link link, JsonNode told) throws IOException {
+            switch (told.path("do").asText()) {
+                case "welcome" -> {
+                    // Read for the practice: the first time takes long, and would fall into the gap.
+                    json.treeToValue(told.path("legacy"), Legacy.class);
+                    welcome = true;
+                }
+                case "helm" -> takeOver(json.treeToValue(told.path("legacy"), Legacy.class));
+                case "message" -> {
+                    HttpResponseStatus status = heir.handedIn(submission(told));
+                    link.tell(message("answer").put("ask", told.path("ask").asLong()).put("status", status.code()));
+                }
+                case "end" -> heir.ended(json.treeToValue(told.path("end"), OutEnd.class));
+                default -> Log.line("the process before told what is not understood");
+            }
+        }
+
+        @Override
+        public void closed(Link link) {
+            before = Optional.empty();
+            welcome = false;
+            if (leads) {
+                heir.left();
+            } else {
+                seek();
+            }
+        }
+    }
+
+    /** This process listens for clients: the one before need not any more. */
+    void listens() {
+        before.ifPresent(link -> link.tell(message("listening")));
+    }
+
+    /** Stops waiting for an attempt that the process before made. */
+    void callOff(long message, int attempt) {
+        before.ifPresent(link -> link.tell(message("cancel").put("message", message).put("attempt", attempt)));
+    }
+
+    // ---- as a leader ----
+
+    /** Whether another process stands by. */
+    boolean hasFollower() {
+        return leads && next.isPresent();
+    }
+
+    /** Hands the helm on; the journal must be closed by now. */
+    void handOver(Legacy legacy) {
+        leads = false;
+        helm.release();
+        tellNext(message("helm").set("legacy", json.valueToTree(legacy)));
+    }
+
+    /** Hands on what a client handed in; the answer comes later, and is a refusal if nobody is left to give one. */
+    void handOn(Intake.Submission s, Consumer<HttpResponseStatus> answer) {
+        if (next.isEmpty()) {
+            answer.accept(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            return;
+        }
+        asked.put(++asks, answer);
+        tellNext(message("message").put("ask", asks).put("id", s.id()).put("class", s.messageClass())
+                .put("tenant", s.tenant()).put("key", s.key().orElse(null)).put("dest", s.destination())
+                .put("budget", s.budgetMs()).put("body", s.body()));
+    }
+
+    void tellEnd(OutEnd end) {
+        tellNext(message("end").set("end", json.valueToTree(end)));
+    }
+
+    private void tellNext(ObjectNode what) {
+        next.ifPresent(link -> link.tell(what));
+    }
+
+    /** The word of the process after this one. */
+    private final class Follower implements Link.Ear {
+        @Override
+        public void opened(Link link) {
+        }
+
+        @Override
+        public void heard(Link link, JsonNode told) {
+            switch (told.path("do").asText()) {
+                case "follow" -> {
+                    if (leads) {
+                        next = Optional.of(link);
+                        tellNext(message("welcome").set("legacy", json.valueToTree(heir.legacy())));
+                    } else {
+                        link.close();
+                    }
+                }
+                case "listening" -> heir.relieved();
+                case "answer" -> Optional.ofNullable(asked.remove(told.path("ask").asLong()))
+                        .ifPresent(answer -> answer.accept(HttpResponseStatus.valueOf(told.path("status").asInt())));
+                case "cancel" -> heir.calledOff(told.path("message").asLong(), told.path("attempt").asInt());
+                default -> Log.line("the process after told what is not understood");
+            }
+        }
+
+        @Override
+        public void closed(Link link) {
+            if (next.filter(n -> n == link).isPresent()) {
+                next = Optional.empty();
+                new ArrayList<>(asked.values()).forEach(a -> a.accept(HttpResponseStatus.SERVICE_UNAVAILABLE));
+                asked.clear();
+            }
+        }
+    }
+
+    /** Lets go of everything, as the end of the process would. */
+    void close() {
+        closed = true;
+        helm.release();
+        before.ifPresent(Link::close);
+        next.ifPresent(Link::close);
+        if (listener != null) {
+            listener.close();
+        }
+    }
+
+    private ObjectNode message(String what) {
+        return json.createObjectNode().put("do", what);
+    }
+
+    private static Intake.Submission submission(JsonNode told) throws IOException {
+        return new Intake.Submission(told.path("id").asText(), told.path("class").asText(),
+                told.path("tenant").asText(), Optional.ofNullable(told.path("key").textValue()),
+                told.path("dest").asLong(), told.path("budget").asLong(), told.path("body").binaryValue());
+    }
+}
--- /dev/null
+++ b/src/test/java/kestreldeal/net/HelmTest.java
@@ -0,0 +1,27 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class HelmTest {
+    @TempDir
+    private Path folder;
+
+    @Test
+    void oneHoldsItUntilItIsReleased() throws Exception {
+        Helm first = new Helm(folder);
+        Helm second = new Helm(folder);
+        assertTrue(first.take());
+        assertTrue(first.take(), "taking it again does no harm");
+        assertFalse(second.take());
+        first.release();
+        first.release();
+        assertTrue(second.take());
+        assertFalse(first.take());
+        second.release();
+    }
+}
--- a/src/test/java/kestreldeal/net/IntakeTest.java
+++ b/src/test/java/kestreldeal/net/IntakeTest.java
@@ -125,7 +125,7 @@
             EventLoop loop = group.next();
             NotingDesk desk = new NotingDesk();
             Intake intake = new Intake(loop, MOST, desk);
-            InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            InetSocketAddress address = listen(intake);
             CountDownLatch written = new CountDownLatch(1);
             keepBusy(loop, written);
             for (int i = 0; i < 5; i++) {
@@ -147,6 +147,11 @@
         }
     }
 
+    private static InetSocketAddress listen(Intake intake) {
+        return (InetSocketAddress) intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .syncUninterruptibly().channel().localAddress();
+    }
+
     private static void keepBusy(EventLoop loop, CountDownLatch until) {
         loop.execute(() -> {
             try {
@@ -165,7 +170,7 @@
         try {
             EventLoop loop = group.next();
             Intake intake = new Intake(loop, MOST, new NoDesk());
-            InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            InetSocketAddress address = listen(intake);
             CountDownLatch connected = new CountDownLatch(1);
             keepBusy(loop, connected);
             for (int i = 0; i < 200; i++) {
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -7,6 +7,7 @@
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
@@ -15,6 +16,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,7 +46,10 @@
     private volatile int reportStatus = 204;
     private boolean known = true;
     private int batch = 1;
+    private String listen = "127.0.0.1:0";
     private Sender sender;
+    /** A process that runs beside the other, and was started before it. */
+    private Sender before;
     private InetSocketAddress address;
 
     @BeforeEach
@@ -57,8 +62,10 @@
 
     @AfterEach
     void close() throws Exception {
-        if (sender != null) {
-            sender.kill();
+        for (Sender each : Arrays.asList(before, sender)) {
+            if (each != null) {
+                each.kill();
+            }
         }
         for (Socket client : clients) {
             client.close();
@@ -113,14 +120,14 @@
                 {"name":"once","aim_ms":2000,"give_up_ms":24000,"repeat":"unsafe"}""";
         Path file = folder.resolve("config.json");
         Files.writeString(file, """
-                {"name":"n0","listen":"127.0.0.1:0","ops":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+                {"name":"n0","listen":"%s","ops":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
                  "limits":{"memory_mb":192,"sockets":256,"disk_mb":3},"known":%s,
                  "settings":{"classes":[%s],"tenants":[{"name":"acme"}],"flavors":["m"],"zones":["a"],
                   "family_info":{"workers":10,"batch_by_kind":[%d],"separate_routes":[false]},
                   "fleet_size":1,"limits":{"most_tries":12,"second_copies":false,"cancel":true,"max_open":%d,
                    "dial_timeout_ms":1000,"keepalive_ms":15000},
                   "rules":{"start_capacity":0.2,"warm_after_ms":12000,"fall_multiple":2,"fall_ms":1500}}}
-                """.formatted(agent.hostPort(), known ? list() : "null", classes, batch, MAX_OPEN));
+                """.formatted(listen, agent.hostPort(), known ? list() : "null", classes, batch, MAX_OPEN));
         return Config.read(environment());
     }
 
@@ -343,6 +350,154 @@
         end.join();
     }
 
+    // ---- two processes ----
+
+    /** Starts a second process beside the one that serves. */
+    private void startBeside() throws Exception {
+        before = sender;
+        listen = address.getHostString() + ":" + address.getPort();
+        start();
+        Stub.await("it can take over", () -> unchecked(() -> operator("readyz").equals("YES\n")));
+    }
+
+    /** Tells the first process to end, and waits until the second one serves; the thread ends with the first. */
+    private Thread replace() throws Exception {
+        Thread end = new Thread(before::drain);
+        end.setDaemon(true);
+        end.start();
+        Stub.await("the second process takes clients", () -> unchecked(() -> {
+            try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+                ask(socket, message("one", "order", "hello"));
+            }
+            return figure("pending") + figure("completed_total{lane=\"order\"}") > 0;
+        }));
+        return end;
+    }
+
+    private void killBefore() {
+        before.kill();
+        before = null;
+    }
+
+    private void answerCallsOut() throws IOException {
+        for (Stub endpoint : endpoints) {
+            endpoint.answerAll("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+    }
+
+    @Test
+    void theNextProcessTakesOverWithCallsOut() throws Exception {
+        script(Stub.silent());
+        start(60_000);
+        Socket kept = client();
+        assertEquals("202", ask(kept, message("one", "order", "hello")).line().split(" ")[1]);
+        handIn("two", "once");
+        Stub.await("both calls", () -> calls().size() == 2);
+        startBeside();
+        assertEquals(2, journalled().size(), "it only follows");
+        Thread end = replace();
+        assertEquals(2, figure("pending"), "what is held goes to the next process");
+        assertEquals("202", ask(kept, message("three", "once", "hello")).line().split(" ")[1],
+                "a request on a connection of the old process is handed on");
+        Stub.await("its call", () -> calls().size() == 3);
+        answerCallsOut();
+        awaitNothingHeld();
+        end.join();
+        assertEquals(3, calls().size(), "nothing went out twice");
+        assertTrue(notices.isEmpty(), notices.toString());
+        assertEquals(1, figure("completed_total{lane=\"order\"}"));
+        assertEquals(2, figure("completed_total{lane=\"once\"}"));
+        assertEquals(1, figure("upstream_requests_total"), "each process counts what it wrote");
+    }
+
+    @Test
+    void aCallThatEndsUndeliveredInTheOldProcessIsRepeatedByTheNext() throws Exception {
+        script(Stub.silent());
+        start(60_000);
+        handIn("one", "order");
+        Stub.await("the call", () -> calls().size() == 1);
+        startBeside();
+        Thread end = replace();
+        script(Stub.status(200, ""));
+        for (Stub endpoint : endpoints) {
+            endpoint.answerAll("HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n");
+        }
+        awaitNothingHeld();
+        end.join();
+        assertEquals(2, calls().size());
+    }
+
+    @Test
+    void anOldProcessThatIsKilledInMidHandoverTakesNothingWithIt() throws Exception {
+        script(Stub.silent());
+        start(60_000);
+        handIn("one", "order");
+        handIn("two", "once");
+        Stub.await("both calls", () -> calls().size() == 2);
+        startBeside();
+        replace();
+        script(Stub.status(200, ""));
+        killBefore();
+        Stub.await("what may be repeated is", () -> calls().size() == 3);
+        awaitNotice("{\"ref\":\"two\",\"result\":\"dead\"}");
+        assertEquals(2, calls().stream().filter(c -> c.header("X-Call-Id").equals("one")).count());
+    }
+
+    @Test
+    void aProcessThatDiesWithoutAWordIsReplacedByTheOneBeside() throws Exception {
+        script(Stub.silent());
+        start();
+        handIn("one", "order");
+        Stub.await("the call", () -> calls().size() == 1);
+        startBeside();
+        script(Stub.status(200, ""));
+        killBefore();
+        awaitNothingHeld();
+        assertEquals(2, calls().size(), "its journal is taken up");
+        Stub.await("clients are taken", () -> unchecked(() -> {
+            try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+                return ask(socket, message("two", "order", "hello")).line().contains("202");
+            } catch (ConnectException notYet) {
+                return false;
+            }
+        }));
+    }
+
+    @Test
+    void aProcessThatOnlyFollowsEndsWithoutATrace() throws Exception {
+        script(Stub.silent());
+        start(60_000);
+        handIn("one", "order");
+        startBeside();
+        sender.drain();
+        sender.kill();
+        handIn("two", "order");
+        assertEquals(2, journalled().size(), "the first one goes on");
+        startBesideAgain();
+        Thread end = replace();
+        answerCallsOut();
+        awaitNothingHeld();
+        end.join();
+    }
+
+    private void startBesideAgain() throws Exception {
+        sender = new Sender(config(), Sender.TAKING_MS, Sender.CLOSING_MS);
+        sender.start();
+        Stub.await("it can take over", () -> unchecked(() -> operator("readyz").equals("YES\n")));
+    }
+
+    @Test
+    void whatIsOverStaysKnownToTheNextProcess() throws Exception {
+        start();
+        handIn("over", "order");
+        awaitNothingHeld();
+        startBeside();
+        replace().join();
+        handIn("over", "order");
+        awaitNothingHeld();
+        assertEquals(1, calls().stream().filter(c -> "over".equals(c.header("X-Call-Id"))).count());
+    }
+
     // ---- delivery ----
 
     @Test
