--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -825,6 +825,24 @@
         assertTrue(b.sends.size() >= 5, "no slot is lost to what was out at the death");
     }
 
+    /** Found on days with silent peers: one call that was never answered kept a busy partner's payments waiting. */
+    @Test
+    void oneUnansweredCallDoesNotBarAnEndpointThatAnswersFromTheSlots() {
+        Bench b = new Bench(10).list(1, 10);
+        b.onSend = s -> {
+            if (s.message() != 0) {
+                b.endLater(s, Outcome.DELIVERED, 20);
+            }
+        };
+        b.takeEvery(50, KEYED, 1, 950);
+        b.onSend = s -> { };
+        int before = b.sends.size();
+        for (int id = 1000; id < 1010; id++) {
+            b.take(id, KEYED, 1);
+        }
+        assertEquals(8, b.sends.size() - before, "all slots but one, the silent call's among them");
+    }
+
     private static Relay.EarlierAttempt stillOut(double agoMs, long call) {
         return new Relay.EarlierAttempt(10, 20_000 - agoMs, true, OptionalLong.of(call));
     }
