--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -988,13 +988,12 @@
         /**
          * A destination may hold fewer slots than stay free, lest a slow or silent one holds them all. One
          * that answers quickly gives them back soon, so it may have all but one: else a quarter of them is
-         * idle beside its queue. It may hurt where it goes silent, until a second call is out of patience: one
-         * may be lost anywhere.
+         * idle beside its queue. It may hurt where it goes silent, until a second call is out of patience.
          */
         boolean hasSlot() {
             int free = settings.slots() - slotsUsed;
-            boolean quick = latency <= QUICK_MS && lastGood > Double.NEGATIVE_INFINITY
-                    && calls.stream().skip(SILENT_CALLS - 1).limit(1).allMatch(c -> clock - c.sentAt <= patience());
+            boolean quick = latency <= QUICK_MS && lastGood > Double.NEGATIVE_INFINITY && calls.stream()
+                    .skip(SILENT_CALLS - 1).limit(1).allMatch(c -> clock - c.sentAt <= patience());
             return quick && free > 1 || free > 0 && destination.out < Math.max(1, free - 1);
         }
 
