Give the last free slot to the busiest quick destination while it holds less than its part

With all slots in use one gets free at a time, and each went to a partner with no call out; the partner with most traffic, with one call out already, got none while hundreds waited for it. Ruled out: its pace, which let calls pass, and its health.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -359,9 +359,8 @@
     // ---- decisions ----
 
     /**
-     * Sends what waits, the most pressing first, as far as gates and slots allow. Every turn looks at all
-     * that waits, so it ranks only what its destination's gates and slots let pass: a jam must not take the
-     * CPU too.
+     * Sends what waits, the most pressing first, as far as gates and slots allow. It ranks only what its
+     * destination's gates and slots let pass: a jam must not take the CPU too.
      */
     private void dispatch() {
         List<Delivery> ranked = new ArrayList<>();
@@ -380,10 +379,7 @@
         ranked.forEach(d -> d.rank = d.rank());
         ranked.sort(PRESSING_FIRST);
         for (Delivery d : ranked) {
-            if (slotsUsed >= settings.slots() && !joins) {
-                break;
-            }
-            if (d.destination.isOpen()) {
+            if ((joins || slotsUsed < settings.slots()) && d.destination.isOpen()) {
                 choose(d, false).ifPresent(target -> send(d, target, false));
             }
         }
@@ -402,10 +398,9 @@
     /**
      * Calls off the call that has been out longest by the measure of its endpoint, if it is out of patience
      * and may be repeated. Guards against calls that get no answer anywhere: a few in a hundred of them hold
-     * all slots till their time-outs, and what has run out of time meanwhile can't be repeated any more. An
-     * endpoint that is merely slow is given more patience with each call that it has lost in this way. What
-     * is called off counts as overdue: else a silent endpoint would count as up while slots lack, and take
-     * those that it gave up again.
+     * all slots till their time-outs, when it is too late to repeat. An endpoint that is merely slow is given
+     * more patience with each call lost in this way. What is called off counts as overdue: else a silent
+     * endpoint would count as up while slots lack, and take those that it gave up again.
      */
     private void freeSlot() {
         if (!settings.cancels()) {
@@ -754,6 +749,11 @@
             return targets.stream().anyMatch(t -> t.serving && t.hasSlot());
         }
 
+        /** Its part of all that is asked for. */
+        double part() {
+            return demand.events / destinations.values().stream().mapToDouble(to -> to.demand.events).sum();
+        }
+
         /** When it is worth coming back: the first opening, or now where none is known. */
         double opensAt() {
             return targets.stream().filter(t -> t.serving).mapToDouble(Target::gatesOpenAt).min()
@@ -988,13 +988,16 @@
         /**
          * A destination may hold fewer slots than stay free, lest a slow or silent one holds them all. One
          * that answers quickly gives them back soon, so it may have all but one: else a quarter of them is
-         * idle beside its queue. It may hurt where it goes silent, until a second call is out of patience.
+         * idle beside its queue; the last one too while it holds less than its part of them by what is asked
+         * for, else those with no call out take every slot that gets free and the busiest one starves. It may
+         * hurt where it goes silent, until a second call is out of patience.
          */
         boolean hasSlot() {
             int free = settings.slots() - slotsUsed;
             boolean quick = latency <= QUICK_MS && lastGood > Double.NEGATIVE_INFINITY && calls.stream()
                     .skip(SILENT_CALLS - 1).limit(1).allMatch(c -> clock - c.sentAt <= patience());
-            return quick && free > 1 || free > 0 && destination.out < Math.max(1, free - 1);
+            boolean lacks = destination.out + 1 < settings.slots() * destination.part();
+            return quick && free > (lacks ? 0 : 1) || free > 0 && destination.out < Math.max(1, free - 1);
         }
 
         /** Whether pace and health let the next call go. */
@@ -1177,8 +1180,7 @@
     /**
      * How long a connection may idle before it is not trusted. Guards against connections that are dropped
      * unseen: after losses on idle ones at two destinations, connections that idled nearly so long are closed
-     * before the next call, until a delivery over one that idled as long comes in. It holds whatever drops
-     * them; it costs set-ups where calls are lost for another reason.
+     * before the next call, until a delivery over one that idled as long. It costs set-ups elsewhere.
      */
     private final class Connections {
         private Optional<Call> suspect = Optional.empty();
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -843,6 +843,25 @@
         assertEquals(8, b.sends.size() - before, "all slots but one, the silent call's among them");
     }
 
+    /** Found on days with crowds: each slot that got free went to a partner with no call out, never to the busiest. */
+    @Test
+    void theBusiestQuickDestinationGetsTheLastSlotWhileItHoldsLessThanItsPart() {
+        Bench b = new Bench(4).list(1, 10).list(2, 20).list(3, 30);
+        b.onSend = s -> {
+            if (s.at() < 1000) {
+                b.endLater(s, Outcome.DELIVERED, 20);
+            }
+        };
+        b.takeEvery(50, KEYED, 1, 1000);
+        b.take(1001, KEYED, 1);
+        b.take(1002, KEYED, 2);
+        b.take(1003, KEYED, 3);
+        b.take(1004, KEYED, 2);
+        assertFalse(b.sent().contains(1004L), "a small one holds as many as stay free at most");
+        b.take(1005, KEYED, 1);
+        assertTrue(b.sent().contains(1005L), "most is asked for here, and it holds one of four");
+    }
+
     private static Relay.EarlierAttempt stillOut(double agoMs, long call) {
         return new Relay.EarlierAttempt(10, 20_000 - agoMs, true, OptionalLong.of(call));
     }
