--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -8,7 +8,7 @@
 mkdir -p "$state"
 GW_CONFIG=deploy/training.json GW_STATE=$state GW_NAME=training GW_LISTEN=127.0.0.1:47979 \
     GW_DISCOVERY=127.0.0.1:47980 java @deploy/java.options -Xlog:disable -XX:ArchiveClassesAtExit=target/sender.jsa \
-    -jar target/kestreldeal.jar serve >"$state/log" 2>&1 &
+    -jar target/kestreldeal.jar serve --alone >"$state/log" 2>&1 &
 sender=$!
 java deploy/Training.java >>"$state/log" 2>&1
 kill -HUP $sender 2>/dev/null
--- a/src/main/java/kestreldeal/Main.java
+++ b/src/main/java/kestreldeal/Main.java
@@ -14,19 +14,24 @@
  * input and output.
  */
 public final class Main {
+    /** For a platform on which one process is all that a sender may be. */
+    private static final String ALONE = "--alone";
+
     private Main() {
     }
 
     /** Runs the command named by the first argument; usage goes to standard error, exit code 2. */
     public static void main(String[] args) {
-        if (args.length != 1 || !List.of("drill", "serve").contains(args[0])) {
-            System.err.println("usage: java -jar kestreldeal.jar drill | serve");
+        boolean alone = List.of(args).equals(List.of("serve", ALONE));
+        if (!alone && (args.length != 1 || !List.of("drill", "serve").contains(args[0]))) {
+            System.err.println("usage: java -jar kestreldeal.jar drill | serve [" + ALONE + "]");
             System.err.println("  drill   speak the simulator's wire on standard input and output");
             System.err.println("  serve   run a sender on real sockets, as its environment configures it");
+            System.err.println("  " + ALONE + " opens no Unix socket: a second process waits for the end of the first");
             System.exit(2);
         }
         if (args[0].equals("serve")) {
-            System.exit(Sender.serve(System.getenv()));
+            System.exit(Sender.serve(System.getenv(), !alone));
         }
         OutputStream out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16);
         PrintStream replies = new PrintStream(out, false, StandardCharsets.UTF_8);
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -53,6 +53,8 @@
     private static final long GONE_MS = 60_000;
 
     private final Config config;
+    /** Whether another process may link to this one to take over from it. */
+    private final boolean links;
     private final long takingMs;
     private final long closingMs;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -111,18 +113,22 @@
     private record Out(long message, int attempt) {
     }
 
-    Sender(Config config, long takingMs, long closingMs) {
+    Sender(Config config, boolean links, long takingMs, long closingMs) {
         this.config = config;
+        this.links = links;
         this.takingMs = takingMs;
         this.closingMs = closingMs;
         this.relay = Relay.create(config.settings(), config.seed(), this);
         this.figures = new Figures(config.classes());
     }
 
-    /** Runs a sender until it is told to end; returns the exit code. */
-    public static int serve(Map<String, String> env) {
+    /**
+     * Runs a sender until it is told to end; returns the exit code. Without links no other process can take over
+     * while this one runs.
+     */
+    public static int serve(Map<String, String> env, boolean links) {
         try {
-            Sender sender = new Sender(Config.read(env), TAKING_MS, CLOSING_MS);
+            Sender sender = new Sender(Config.read(env), links, TAKING_MS, CLOSING_MS);
             Hangup.handle(() -> sender.reload(env));
             sender.start();
             Runtime.getRuntime().addShutdownHook(new Thread(sender::drain, "drain"));
@@ -162,7 +168,7 @@
         intake = new Intake(loop, mostClients, clients);
         ops = new Ops(loop, new Operators());
         discovery = new Discovery(loop, new Agent(loop, agentAddress), this::listed);
-        succession = new Succession(loop, config.state(), new Successor());
+        succession = new Succession(loop, config.state(), links, new Successor());
         succession.start();
         discovery.start(config.known());
         return null;
--- a/src/main/java/kestreldeal/net/Succession.java
+++ b/src/main/java/kestreldeal/net/Succession.java
@@ -73,6 +73,8 @@
     private final EventLoop loop;
     private final Helm helm;
     private final Path socket;
+    /** Without links a process can only wait for the end of the one that leads. */
+    private final boolean links;
     private final Heir heir;
     private final JsonMapper json = JsonMapper.builder()
             // A later release may tell more.
@@ -89,10 +91,11 @@
     private final Map<Long, Consumer<HttpResponseStatus>> asked = new HashMap<>();
     private long asks;
 
-    Succession(EventLoop loop, Path folder, Heir heir) {
+    Succession(EventLoop loop, Path folder, boolean links, Heir heir) {
         this.loop = loop;
         this.helm = new Helm(folder);
         this.socket = folder.resolve("helm.sock");
+        this.links = links;
         this.heir = heir;
     }
 
@@ -119,7 +122,9 @@
     private void lead(Optional<Legacy> legacy) throws IOException {
         leads = true;
         heir.lead(legacy);
-        listen();
+        if (links) {
+            listen();
+        }
     }
 
     /** The path may be that of a process that was; without a socket there, a successor starts after the end. */
@@ -152,6 +157,10 @@
         } catch (IOException e) {
             Log.line("can't lead yet: " + e.getMessage());
         }
+        if (!links) {
+            seekLater();
+            return;
+        }
         Link.connect(loop, socket, new Leader()).addListener(f -> {
             if (!f.isSuccess()) {
                 seekLater();
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -45,6 +45,7 @@
     private volatile int reportStatus = 204;
     private boolean known = true;
     private int batch = 1;
+    private boolean links = true;
     private String listen = "127.0.0.1:0";
     private Sender sender;
     /** A process that runs beside the other, and was started before it. */
@@ -140,7 +141,7 @@
     }
 
     private void start(long closingMs) throws Exception {
-        sender = new Sender(config(), Sender.TAKING_MS, closingMs);
+        sender = new Sender(config(), links, Sender.TAKING_MS, closingMs);
         address = sender.start();
     }
 
@@ -483,7 +484,7 @@
     }
 
     private void startBesideAgain() throws Exception {
-        sender = new Sender(config(), Sender.TAKING_MS, Sender.CLOSING_MS);
+        sender = new Sender(config(), links, Sender.TAKING_MS, Sender.CLOSING_MS);
         sender.start();
         Stub.await("it can take over", () -> unchecked(() -> operator("readyz").equals("YES\n")));
     }
@@ -1058,6 +1059,23 @@
         assertEquals(1, journalled().get(0).attempts.size());
     }
 
+    /** Where one process is all that a sender may be, a second one waits for the end of the first. */
+    @Test
+    void withoutLinksASecondProcessWaitsForTheEnd() throws Exception {
+        links = false;
+        script(Stub.silent());
+        start();
+        assertFalse(Files.exists(folder.resolve("state/helm.sock")));
+        handIn("one", "order");
+        Stub.await("the call", () -> calls().size() == 1);
+        before = sender;
+        start();
+        assertEquals("NO not serving\n", operator("readyz"));
+        killBefore();
+        Stub.await("the second one goes on", () -> calls().size() == 2);
+        assertFalse(Files.exists(folder.resolve("state/helm.sock")));
+    }
+
     /** The program itself, as a process: SIGKILL loses nothing, and SIGTERM ends it by its own will. */
     @Test
     void theProcessOutlivesItsSignals() throws Exception {
