Keep the least pace at the even part where a rate is known, also in a large fleet

At fault: Limit.floor(). After a refusal each sender goes on with two calls a second, a hundred of them with two hundred; further refusals then triple the pause, up to 40 s, longer than a message lives. Ruled out: slots and CPU (2.4 s of CPU in 24 s), connections (no failed connect in the first ten seconds), faults of endpoints (no errors).

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -74,8 +74,9 @@
     private static final double PACE_NEAR = 0.9;
     private static final double PACE_MEMORY_MS = 4000;
     /**
-     * Longest interval of a pace after one refusal, lest a sender with little traffic keep its message for
-     * long. It grows so many times with each further refusal, up to so often, and falls with each delivery.
+     * Longest interval of a pace after one refusal where no rate is known, lest a sender with little traffic
+     * keep its message for long; it grows so many times with each further one, up to so often. Where one is
+     * known a hundred senders at this pace would push a destination far over its limit.
      */
     private static final double PACE_PAUSE_MS = 500;
     private static final double PACE_PAUSE_GROWTH = 3;
@@ -85,9 +86,8 @@
     /** The same as a share of the even part of a listed rate, which may be half too high. */
     private static final double LISTED_SHARE = 0.5;
     /**
-     * The same as a share of an even part of the rate that its answers tell, which is nearly true: less with
-     * each refusal in a row, as others may take more than their part. Guards against a pace that a clump cut
-     * and that takes a slow destination's few deliveries many seconds to grow back, with messages waiting.
+     * The same as a share of an even part of the rate that its answers tell: less with each refusal in a row,
+     * as others may take more. Guards against a pace that a clump cut and few deliveries let grow back.
      */
     private static final double TOLD_SHARE = 0.9;
     /** Weight of a newly told rate, which counts as at most so many times more or less than those before. */
@@ -842,16 +842,16 @@
             destination.demand.recall(known.demand());
         }
 
-        /** This sender's even part of what the limit is known to take at the least. */
-        double evenPart() {
-            return Math.max(LISTED_SHARE * listedRate, TOLD_SHARE * toldRate) / settings.senders();
+        /** This sender's even part of the rate that is known, after so many refusals in a row. */
+        double evenPart(int refusals) {
+            double told = TOLD_SHARE * toldRate / Math.max(1, refusals);
+            return Math.max(LISTED_SHARE * listedRate, told) / settings.senders();
         }
 
         private double floor() {
-            double own = Math.max(PACE_LEAST_SHARE * destination.demand.perMs(),
-                    Math.max(LISTED_SHARE * listedRate, TOLD_SHARE * toldRate / Math.max(1, pressed))
-                            / settings.senders());
-            return Math.max(1 / (PACE_PAUSE_MS * Math.pow(PACE_PAUSE_GROWTH, pressed)), own);
+            double part = evenPart(pressed);
+            return Math.max(PACE_LEAST_SHARE * destination.demand.perMs(),
+                    part > 0 ? part : 1 / (PACE_PAUSE_MS * Math.pow(PACE_PAUSE_GROWTH, pressed)));
         }
     }
 
@@ -882,7 +882,7 @@
     /**
      * An endpoint and its health. Guards against dead, silent, failing and shut endpoints alike: when down,
      * single trials replace the backlog; when it answers again, a ramp keeps within what a cold endpoint can
-     * take. It should hold against any outage that shows; it may hurt where an endpoint is merely slow.
+     * take. It may hurt where an endpoint is merely slow.
      */
     private final class Target {
         final Endpoint entry;
@@ -1045,7 +1045,7 @@
             double warm = state == State.DOWN ? 0 : (clock - warmSince) / cold.warmMs();
             double capacity = cold.startCapacity() + (1 - cold.startCapacity()) * warm;
             double asked = destination.demand.perMs() / destination.serving() * DEMAND_SHARE;
-            double part = limit.evenPart() / (limit == destination.shared ? destination.serving() : 1);
+            double part = limit.evenPart(0) / (limit == destination.shared ? destination.serving() : 1);
             double known = Math.max(Math.max(carried.perMs(), carriedBefore), Math.max(asked, part));
             double rate = RAMP_SAFETY * cold.overloadMultiple() * capacity * known;
             double least = 1 / Math.min(TRIAL_LEAST_MS * settings.senders(), TRIAL_MOST * cold.warmMs());
@@ -1160,9 +1160,8 @@
         }
 
         /**
-         * Goes on where an earlier life ended. Guards against a restart in an outage, which would send all
-         * that is held at once to what may just be coming back cold; and against trials and a ramp, for the
-         * same backlog, at what was never out. It may hurt where an outage began unseen just before the end.
+         * Goes on where an earlier life ended. Guards against a backlog that is sent at once to what may just
+         * come back cold, or at the pace of trials to what was never out. An outage that began unseen hurts.
          */
         void recall(Health health) {
             state = health.state();
@@ -1273,8 +1272,7 @@
         }
 
         boolean mayGo(Delivery d) {
-            return !d.type.inOrder()
-                    || line(d).map(l -> l.waiting.peek() == d && l.out == d.out && l.restUntil <= clock)
+            return line(d).map(l -> l.waiting.peek() == d && l.out == d.out && l.restUntil <= clock)
                     .orElse(true);
         }
 
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -511,6 +511,23 @@
         return b.sends.size() - before;
     }
 
+    /** Found on the fleet days: each of a hundred senders went on with two calls a second after a refusal. */
+    @Test
+    void theLeastPaceIsThatOfOneAmongAll() {
+        for (int senders : List.of(2, 100)) {
+            Bench b = new Bench(100, senders).list(1, 10);
+            b.toldRate = 12;
+            b.take(0, SAFE, 1);
+            b.take(1, SAFE, 1);
+            b.end(0, 0, Outcome.DELIVERED);
+            b.end(1, 0, Outcome.FULL);
+            b.take(2, SAFE, 1);
+            b.take(3, SAFE, 1);
+            b.until(1500);
+            assertEquals(senders == 2 ? 6 : 3, b.sends.size(), "sent by one of " + senders);
+        }
+    }
+
     /** Found on the long day: calls that got no answer held all slots until their time-outs. */
     @Test
     void callsWithoutAnswerGiveUpTheirSlotsToWhatWaits() {
