Cut a thin stream's pace at its first refusal to what it sent over ten seconds

Each sender went on at 0.70 a second after its first refusal, where it had sent one message in six seconds: 60 of them at 42. At fault: Limit.refused(). One send in the last second counts as one a second, and a second refusal in a row left the floor where it was. Where a destination's rate is known, the sends of ten seconds now bound the first cut as they did the later ones, and each refusal in a row lowers the floor.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -813,8 +813,10 @@
             if (call.sentAt < cutAt) {
                 return;
             }
-            edge = rate == Double.POSITIVE_INFINITY ? lastSecond.size() / 1000.0
-                    : Math.min(rate, PACE_OVER_SENT * sends.perMs());
+            boolean paced = rate < Double.POSITIVE_INFINITY;
+            edge = paced ? rate : lastSecond.size() / 1000.0;
+            // In one second the thin streams of many senders make no rate.
+            edge = paced || evenPart(0) > 0 ? Math.min(edge, PACE_OVER_SENT * sends.perMs()) : edge;
             rate = Math.max(floor(), edge * PACE_CUT);
             pressed = Math.min(pressed + 1, PACE_PAUSES);
             cutAt = clock;
@@ -844,7 +846,7 @@
 
         /** This sender's even part of the rate that is known, after so many refusals in a row. */
         double evenPart(int refusals) {
-            double told = TOLD_SHARE * toldRate / Math.max(1, refusals);
+            double told = TOLD_SHARE * toldRate / (1 + refusals);
             return Math.max(LISTED_SHARE * listedRate, told) / settings.senders();
         }
 
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -528,6 +528,23 @@
         }
     }
 
+    /** Found on the fleet days: one send of the last second counted as one a second where it came each five. */
+    @Test
+    void aThinStreamsFirstRefusalCutsTheRateThatItHad() {
+        Bench b = new Bench(100, 100).list(1, 10);
+        b.toldRate = 10;
+        for (int id = 0; id < 4; id++) {
+            b.take(id, SAFE, 1);
+            b.end(id, 0, id < 3 ? Outcome.DELIVERED : Outcome.FULL);
+            b.until(id < 3 ? b.now + 5000 : b.now);
+        }
+        b.take(4, SAFE, 1);
+        b.until(b.now + 2300);
+        assertEquals(4, b.sends.size());
+        b.until(b.now + 10_000);
+        assertEquals(6, b.sends.size());
+    }
+
     /** Found on the long day: calls that got no answer held all slots until their time-outs. */
     @Test
     void callsWithoutAnswerGiveUpTheirSlotsToWhatWaits() {
