--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -51,6 +51,7 @@
     private final Path next;
     private final long bound;
     private final long messageRoom;
+    private final boolean first;
     private final Map<Long, Held> live = new TreeMap<>();
     /** What the module last knew of endpoints that are not in service. */
     private final Map<String, Health> health = new TreeMap<>();
@@ -64,6 +65,7 @@
         this.next = folder.resolve("journal.next");
         this.bound = diskBytes - BLOCKS;
         this.messageRoom = (long) maxAttempts * ATTEMPT_ROOM + END_ROOM;
+        this.first = !Files.exists(file);
         // A compaction that the process did not live to finish still takes up room.
         Files.deleteIfExists(next);
         channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
@@ -73,6 +75,11 @@
         channel.position(size);
     }
 
+    /** Whether no process has had this journal before. */
+    boolean isFirst() {
+        return first;
+    }
+
     /** What was held when the last process ended, in the order taken. */
     Collection<Held> held() {
         return new ArrayList<>(live.values());
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -100,7 +100,7 @@
     /** A list is known and the journal is replayed. */
     private boolean ready;
     private boolean listed;
-    /** The agent was asked for the list: what the configuration knew may be older than what an earlier life was told. */
+    /** The agent was asked for the list: the configuration's may be older than what an earlier life was told. */
     private boolean asked;
     private Succession succession;
     /** What the process before told of itself, until the journal is replayed. */
@@ -191,9 +191,9 @@
         });
     }
 
-    /** Takes up what is held, once this process leads, and knows the list as well as the agent does. */
+    /** Takes up what is held, once this process leads and has a list, a later life the agent's if it answers. */
     private void begin() {
-        if (ready || journal == null || !listed || !asked) {
+        if (ready || journal == null || !listed || !asked && !journal.isFirst()) {
             return;
         }
         ready = true;
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -148,6 +148,12 @@
     private void killAndStart() throws Exception {
         sender.kill();
         start();
+        awaitReady();
+    }
+
+    private void awaitReady() throws InterruptedException {
+        Stub.await("it is ready", () -> unchecked(() ->
+                ask(client(), "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").line().contains(" 200 ")));
     }
 
     private Socket client() throws IOException {
