Turn a pace by the share of the limit that answers tell is left

At fault: Limit.delivered(). The answers' x0 says how much of the limit all senders together leave; the pace now moves to where half of it is left, by the time between its calls; without x0 it grows by a plain step, so the memory of the last edge goes.

--- a/src/main/java/kestreldeal/Drill.java
+++ b/src/main/java/kestreldeal/Drill.java
@@ -20,7 +20,7 @@
     private final PrintStream out;
     private final PrintStream err;
     private final Map<String, Relay> instances = new HashMap<>();
-    private final Map<String, Integer> toldRateFields = new HashMap<>();
+    private final Map<String, List<String>> reportFields = new HashMap<>();
     private final Map<Integer, List<Relay.Endpoint>> lists = new HashMap<>();
     private final StringBuilder reply = new StringBuilder();
     private long lineNumber;
@@ -101,7 +101,7 @@
                 long seed = f.whole("entropy");
                 Params params = f.pairs();
                 Relay.Settings settings = params.settings();
-                toldRateFields.put(instance, params.toldRateField());
+                reportFields.put(instance, params.reportFields());
                 return () -> instances.put(instance, Relay.create(settings, seed, new Wire(instance)));
             }
             case "UPDATE":
@@ -195,15 +195,20 @@
         boolean finished = f.whole("no_more") != 0;
         double note = f.numberOr("hold_ms", 0);
         double wait = outcome == Relay.Outcome.FULL ? note : 0;
-        double toldRate = toldRate(instance, f.optional("server_stats"));
-        Relay.AttemptEnd end = new Relay.AttemptEnd(message, attempt, outcome, took, finished, wait, toldRate);
+        Relay.Report report = report(instance, f.optional("server_stats"));
+        Relay.AttemptEnd end = new Relay.AttemptEnd(message, attempt, outcome, took, finished, wait, report);
         return () -> relay(instance).attemptEnded(now, end);
     }
 
-    private double toldRate(String instance, Optional<String> report) throws BadInput {
-        String[] figures = report.orElse("").split(",");
-        int field = toldRateFields.getOrDefault(instance, -1);
-        return field < 0 || field >= figures.length || report.isEmpty() ? 0 : Params.parse(figures[field]);
+    private Relay.Report report(String instance, Optional<String> told) throws BadInput {
+        List<String> names = reportFields.getOrDefault(instance, List.of());
+        List<String> figures = told.map(figure -> List.of(figure.split(","))).orElse(List.of());
+        return new Relay.Report(figure(figures, names.indexOf(Params.TOLD_RATE), Relay.Report.NONE.rate()),
+                figure(figures, names.indexOf(Params.TOLD_LEFT), Relay.Report.NONE.left()));
+    }
+
+    private static double figure(List<String> figures, int field, double absent) throws BadInput {
+        return field < 0 || field >= figures.size() ? absent : Params.parse(figures.get(field));
     }
 
     private static Relay.Outcome outcome(String code) throws BadInput {
--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -68,15 +68,15 @@
     private static final double PACE_CUT = 0.7;
     /** A pace stands for no more than this multiple of what was sent of late: unused, it only grows. */
     private static final double PACE_OVER_SENT = 1.3;
-    /** Growth of a pace with each delivery: little near where it was refused, until that is so long ago. */
-    private static final double PACE_GROWTH = 0.15;
-    private static final double PACE_PROBE = 0.03;
-    private static final double PACE_NEAR = 0.9;
-    private static final double PACE_MEMORY_MS = 4000;
+    /** Growth of a pace with each delivery where answers don't tell how much of the limit is left. */
+    private static final double PACE_GROWTH = 0.05;
+    /** Where they do, a pace turns to where this share is, by this gain a second, up to so many at once. */
+    private static final double LEFT_AIM = 0.5;
+    private static final double LEFT_GAIN = 0.6;
+    private static final double LEFT_SECONDS = 3;
     /**
-     * Longest interval of a pace after one refusal where no rate is known, lest a sender with little traffic
-     * keep its message for long; it grows so many times with each further one, up to so often. Where one is
-     * known a hundred senders at this pace would push a destination far over its limit.
+     * Longest interval of a pace after one refusal where no rate is known, lest a thin stream's message wait;
+     * so many times as long with each further one. At a known rate a hundred senders would be too fast.
      */
     private static final double PACE_PAUSE_MS = 500;
     private static final double PACE_PAUSE_GROWTH = 3;
@@ -397,10 +397,9 @@
 
     /**
      * Calls off the call that has been out longest by the measure of its endpoint, if it is out of patience
-     * and may be repeated. Guards against calls that get no answer anywhere: a few in a hundred of them hold
-     * all slots till their time-outs, when it is too late to repeat. An endpoint that is merely slow is given
-     * more patience with each call lost in this way. What is called off counts as overdue: else a silent
-     * endpoint would count as up while slots lack, and take those that it gave up again.
+     * and may be repeated. Guards against a few unanswered calls that hold all slots till their time-outs. An
+     * endpoint that is merely slow gets more patience with each. What is called off counts as overdue, lest a
+     * silent endpoint count as up and take those slots again.
      */
     private void freeSlot() {
         if (!settings.cancels()) {
@@ -701,7 +700,7 @@
         void itemEnded(AttemptEnd end) {
             itemsOut--;
             target.limit.told(end.waitMs());
-            target.limit.says(end.toldRate());
+            target.limit.says(end.report().rate());
             if (!observed && end.outcome() != Outcome.CANCELLED && end.outcome() != Outcome.NOT_SENT) {
                 observed = true;
                 target.observe(this, end);
@@ -772,7 +771,6 @@
         double rate = Double.POSITIVE_INFINITY;
         double nextAt = Double.NEGATIVE_INFINITY;
         double waitUntil = Double.NEGATIVE_INFINITY;
-        double edge;
         double cutAt = Double.NEGATIVE_INFINITY;
 
         Limit(Destination destination) {
@@ -814,7 +812,7 @@
                 return;
             }
             boolean paced = rate < Double.POSITIVE_INFINITY;
-            edge = paced ? rate : lastSecond.size() / 1000.0;
+            double edge = paced ? rate : lastSecond.size() / 1000.0;
             // In one second the thin streams of many senders make no rate.
             edge = paced || evenPart(0) > 0 ? Math.min(edge, PACE_OVER_SENT * sends.perMs()) : edge;
             rate = Math.max(floor(), edge * PACE_CUT);
@@ -826,17 +824,18 @@
             }
         }
 
-        void delivered() {
+        void delivered(double left) {
             pressed = Math.max(pressed - 1, 0);
-            boolean quick = rate < PACE_NEAR * edge || clock > cutAt + PACE_MEMORY_MS;
-            rate = Math.max(floor(), rate * (1 + (quick ? PACE_GROWTH : PACE_PROBE)));
+            double seconds = Math.min(LEFT_SECONDS, Math.max(1, 1 / (1000 * rate)));
+            boolean told = left >= 0 && left <= 1;
+            rate *= 1 + (told ? LEFT_GAIN * seconds * (left - LEFT_AIM) : PACE_GROWTH);
+            rate = Math.max(floor(), rate);
         }
 
         void recall(Known known) {
             told(known.waitLeftMs());
             rate = known.pace();
             nextAt = clock + 1 / rate;
-            edge = known.paceEdge();
             cutAt = clock - known.paceCutAgoMs();
             pressed = known.pressed();
             toldRate = known.told();
@@ -906,8 +905,6 @@
         double fruitlessSince;
         double lastGood = Double.NEGATIVE_INFINITY;
         final Rate carried = new Rate();
-        /** The same before an outage that an earlier life saw. */
-        double carriedBefore;
         double warmSince;
         double downAt;
         boolean silentOnly;
@@ -929,7 +926,7 @@
         }
 
         Known known() {
-            return new Known(entry.id(), Math.max(0, limit.waitUntil - clock), limit.rate, limit.edge,
+            return new Known(entry.id(), Math.max(0, limit.waitUntil - clock), limit.rate,
                     clock - limit.cutAt, limit.pressed, limit.sends.perMs(), limit.toldRate,
                     destination.demand.perMs(), carried.perMs(), latency, deviation, clock - lastGood);
         }
@@ -989,10 +986,9 @@
 
         /**
          * A destination may hold fewer slots than stay free, lest a slow or silent one holds them all. One
-         * that answers quickly gives them back soon, so it may have all but one: else a quarter of them is
-         * idle beside its queue; the last one too while it holds less than its part of them by what is asked
-         * for, else those with no call out take every slot that gets free and the busiest one starves. It may
-         * hurt where it goes silent, until a second call is out of patience.
+         * that answers quickly gives them back soon, so it may have all but one; the last one too while it
+         * holds less than its part by what is asked for, else those with no call out starve the busiest one.
+         * It may hurt where it goes silent, until a second call is out of patience.
          */
         boolean hasSlot() {
             int free = settings.slots() - slotsUsed;
@@ -1024,8 +1020,7 @@
 
         /**
          * How long a call may be out, as far as can be told before. What can't be repeated is not to be cut
-         * off, so it gets the slowest answer to be reckoned with; not its time-out, which is for what never
-         * answers: that is longer than any close takes, and would hold all of these for the next life.
+         * off: it gets the slowest answer to be reckoned with, not its time-out, longer than any close takes.
          */
         double expectedEnd(MessageClass type) {
             return type.effect() == Effect.UNSAFE ? slowest() : patience();
@@ -1048,7 +1043,7 @@
             double capacity = cold.startCapacity() + (1 - cold.startCapacity()) * warm;
             double asked = destination.demand.perMs() / destination.serving() * DEMAND_SHARE;
             double part = limit.evenPart(0) / (limit == destination.shared ? destination.serving() : 1);
-            double known = Math.max(Math.max(carried.perMs(), carriedBefore), Math.max(asked, part));
+            double known = Math.max(carried.perMs(), Math.max(asked, part));
             double rate = RAMP_SAFETY * cold.overloadMultiple() * capacity * known;
             double least = 1 / Math.min(TRIAL_LEAST_MS * settings.senders(), TRIAL_MOST * cold.warmMs());
             if (rate == 0) {
@@ -1102,7 +1097,7 @@
                 actions.log("endpoint " + entry.id() + " answers again, warming");
                 remember();
             }
-            limit.delivered();
+            limit.delivered(end.report().left());
         }
 
         private void full(Call call, double waitMs) {
@@ -1158,16 +1153,13 @@
         }
 
         private void remember() {
-            actions.remember(entry.id(), new Health(state, clock, Math.max(carried.perMs(), carriedBefore)));
+            actions.remember(entry.id(), new Health(state, clock, carried.perMs()));
         }
 
-        /**
-         * Goes on where an earlier life ended. Guards against a backlog that is sent at once to what may just
-         * come back cold, or at the pace of trials to what was never out. An outage that began unseen hurts.
-         */
+        /** Goes on where an earlier life ended, lest a backlog push over what may just come back cold. */
         void recall(Health health) {
             state = health.state();
-            carriedBefore = health.carriedPerMs();
+            carried.recall(health.carriedPerMs());
             if (state == State.WARMING) {
                 warmSince = health.since();
             }
@@ -1179,9 +1171,8 @@
     }
 
     /**
-     * How long a connection may idle before it is not trusted. Guards against connections that are dropped
-     * unseen: after losses on idle ones at two destinations, connections that idled nearly so long are closed
-     * before the next call, until a delivery over one that idled as long. It costs set-ups elsewhere.
+     * Guards against connections that are dropped unseen: after losses on idle ones at two destinations,
+     * those that idled nearly so long are closed before use, until a delivery over one that idled as long.
      */
     private final class Connections {
         private Optional<Call> suspect = Optional.empty();
--- a/src/main/java/kestreldeal/Params.java
+++ b/src/main/java/kestreldeal/Params.java
@@ -9,8 +9,9 @@
  * adapter and the real sender, lest the two read one setting in two ways; unknown ones are never asked for.
  */
 public record Params(Map<String, String> values) {
-    /** The name of the figure in reports that is the rate of a destination's limit. */
+    /** The names of the figures in reports: the rate of a destination's limit, and the share of it that is left. */
     public static final String TOLD_RATE = "x1";
+    public static final String TOLD_LEFT = "x0";
 
     /** The module's settings. */
     public Relay.Settings settings() throws BadInput {
@@ -50,9 +51,9 @@
                 numberOr("rules.order_pause_ms", 0), numberOr("limits.keepalive_ms", 0), cold);
     }
 
-    /** Which of the figures that an answer's report holds is the rate of its limit; -1 where none is. */
-    public int toldRateField() {
-        return list("reporting.fields").indexOf(TOLD_RATE);
+    /** The names of the figures that an answer's report holds, in their order on the wire. */
+    public List<String> reportFields() {
+        return list("reporting.fields");
     }
 
     /** The value of a setting that must be there. */
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -195,12 +195,12 @@
     }
 
     /** What is known of one endpoint; rates are in calls a millisecond, no pace is an infinite one. */
-    record Known(long endpoint, double waitLeftMs, double pace, double paceEdge, double paceCutAgoMs, int pressed,
+    record Known(long endpoint, double waitLeftMs, double pace, double paceCutAgoMs, int pressed,
                  double sent, double told, double demand, double carried, double latencyMs, double deviationMs,
                  double goodAgoMs) {
         /** The same under the number that another process has for the endpoint. */
         public Known at(long number) {
-            return new Known(number, waitLeftMs, pace, paceEdge, paceCutAgoMs, pressed, sent, told, demand, carried,
+            return new Known(number, waitLeftMs, pace, paceCutAgoMs, pressed, sent, told, demand, carried,
                     latencyMs, deviationMs, goodAgoMs);
         }
     }
@@ -223,16 +223,24 @@
     record Health(State state, double since, double carriedPerMs) {
     }
 
+    /**
+     * What an answer tells of its destination's limit: the calls a second that it takes from all senders together,
+     * 0 where it does not say, and the share of its allowance that is left just now, negative where it does not.
+     */
+    record Report(double rate, double left) {
+        /** Nothing is told. */
+        public static final Report NONE = new Report(0, -1);
+    }
+
     /**
      * The end of one attempt. {@code finished} tells that the message needs no further answer; {@code waitMs}
-     * is the wait that a full destination told, or 0; {@code toldRate} the calls a second that it says it
-     * takes from all senders together, or 0.
+     * is the wait that a full destination told, or 0.
      */
     record AttemptEnd(long message, int attempt, Outcome outcome, double tookMs, boolean finished,
-            double waitMs, double toldRate) {
-        /** An end that tells no rate. */
+            double waitMs, Report report) {
+        /** An end without a report. */
         AttemptEnd(long message, int attempt, Outcome outcome, double tookMs, boolean finished, double waitMs) {
-            this(message, attempt, outcome, tookMs, finished, waitMs, 0);
+            this(message, attempt, outcome, tookMs, finished, waitMs, Report.NONE);
         }
     }
 
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -40,6 +40,7 @@
 import java.util.regex.Pattern;
 import kestreldeal.Params;
 import kestreldeal.Relay.Outcome;
+import kestreldeal.Relay.Report;
 
 /**
  * Calls to endpoints and the connections that they go over: one post each, kept for the next, the newest
@@ -56,18 +57,16 @@
     private static final long ANSWER_MS = 1000;
     /** A connection rests for so long before its next call, lest what comes behind an answer be taken for one. */
     private static final long REST_MS = 10;
-    private static final String TOLD_RATE = Params.TOLD_RATE + "=";
     /** How one of several messages ended, in the answer to all. */
     private static final Pattern END_LINE = Pattern.compile("([!-~]+) (accepted|fault|deferred|expired|no_more)");
     /** Longest wait that is believed: no message is held for so long. */
     private static final double LONGEST_WAIT_MS = 60_000;
 
     /**
-     * Told of the end of each call; {@code gone}: the message is over, whatever else is true; {@code toldRate}:
-     * the calls a second that the destination says it takes, or 0.
+     * Told of the end of each call; {@code gone}: the message is over, whatever else is true.
      */
     interface Ends {
-        void ended(Call call, Outcome outcome, boolean gone, double waitMs, double toldRate);
+        void ended(Call call, Outcome outcome, boolean gone, double waitMs, Report report);
 
         /** So many messages have been written whole, in one request. */
         default void written(int messages) {
@@ -248,7 +247,7 @@
             done = true;
             timer.cancel(false);
             // Never at once: an end may be found while the module is being called.
-            loop.execute(() -> ends.ended(this, outcome, gone, waitMs, post.toldRate));
+            loop.execute(() -> ends.ended(this, outcome, gone, waitMs, post.report));
         }
 
         /** What a single message's answer says, by the protocol's table. */
@@ -292,7 +291,7 @@
         private boolean written;
         /** The last byte is out: from here on it may have run. */
         private boolean flushed;
-        private double toldRate;
+        private Report report = Report.NONE;
 
         Post(Peer peer) {
             this.peer = peer;
@@ -484,18 +483,25 @@
         }
     }
 
-    /** The rate in an answer's report, as {@code TEXT x0=0.4, x1=25}; 0 where none can be read. */
-    private static double toldRate(HttpResponse response) {
-        for (String figure : response.headers().get("X-Load-Report", "").split("[,\\s]+")) {
-            if (figure.startsWith(TOLD_RATE)) {
+    /** An answer's report, as {@code TEXT x0=0.4, x1=25}. */
+    private static Report report(HttpResponse response) {
+        String[] figures = response.headers().get("X-Load-Report", "").split("[,\\s]+");
+        return new Report(figure(figures, Params.TOLD_RATE, Report.NONE.rate()),
+                figure(figures, Params.TOLD_LEFT, Report.NONE.left()));
+    }
+
+    /** One figure of a report, or what stands for one that is not there or can't be read. */
+    private static double figure(String[] figures, String name, double absent) {
+        for (String figure : figures) {
+            if (figure.startsWith(name + "=")) {
                 try {
-                    return Double.parseDouble(figure.substring(TOLD_RATE.length()));
+                    return Double.parseDouble(figure.substring(name.length() + 1));
                 } catch (NumberFormatException e) {
-                    return 0;
+                    return absent;
                 }
             }
         }
-        return 0;
+        return absent;
     }
 
     private static long nowMs() {
@@ -656,7 +662,7 @@
             }
             if (part instanceof HttpResponse response) {
                 head = response;
-                post.toldRate = toldRate(response);
+                post.report = report(response);
                 if (HttpUtil.getContentLength(response, 0L) > LONGEST_BODY) {
                     spoilt();
                     return;
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -333,7 +333,7 @@
             // Unrecorded it could run twice: it is not made.
             Log.line("no attempt without the journal: " + e.getMessage());
             held.attempts.add(attempt);
-            loop.execute(() -> attemptEnded(held, number, Relay.Outcome.NOT_SENT, false, 0, 0, 0));
+            loop.execute(() -> attemptEnded(held, number, Relay.Outcome.NOT_SENT, false, 0, Relay.Report.NONE, 0));
             return;
         }
         calls.put(new Out(message, number),
@@ -412,15 +412,15 @@
     private final class Calls implements Endpoints.Ends {
         @Override
         public void ended(Endpoints.Call call, Relay.Outcome outcome, boolean gone, double waitMs,
-                double toldRate) {
+                Relay.Report report) {
             calls.remove(new Out(call.held.number, call.attempt));
             double took = (System.nanoTime() - call.startedNanos) / 1e6;
             if (handedOver) {
                 succession.tellEnd(new Succession.OutEnd(call.held.number, call.attempt, outcome, gone, waitMs,
-                        toldRate, took));
+                        report, took));
                 return;
             }
-            attemptEnded(call.held, call.attempt, outcome, gone, waitMs, toldRate, took);
+            attemptEnded(call.held, call.attempt, outcome, gone, waitMs, report, took);
         }
 
         @Override
@@ -442,7 +442,7 @@
     }
 
     private void attemptEnded(Held held, int attempt, Relay.Outcome outcome, boolean gone, double waitMs,
-            double toldRate, double took) {
+            Relay.Report report, double took) {
         try {
             if (!held.over && (gone || outcome == Relay.Outcome.DELIVERED)) {
                 over(held);
@@ -460,7 +460,7 @@
         }
         boolean finished = held.over;
         event(() -> relay.attemptEnded(openTurn(), new Relay.AttemptEnd(held.number, attempt, outcome, took,
-                finished, waitMs, toldRate)));
+                finished, waitMs, report)));
     }
 
     private void over(Held held) {
@@ -698,7 +698,7 @@
         public void ended(Succession.OutEnd end) {
             Held held = elsewhere.remove(new Out(end.message(), end.attempt()));
             if (held != null) {
-                attemptEnded(held, end.attempt(), end.outcome(), end.gone(), end.waitMs(), end.toldRate(),
+                attemptEnded(held, end.attempt(), end.outcome(), end.gone(), end.waitMs(), end.report(),
                         end.tookMs());
             }
         }
@@ -714,7 +714,8 @@
             Log.line("the process before has left, with " + elsewhere.size() + " attempts out");
             Map<Out, Held> lost = new HashMap<>(elsewhere);
             elsewhere.clear();
-            lost.forEach((out, held) -> attemptEnded(held, out.attempt(), Relay.Outcome.BROKEN, false, 0, 0, 0));
+            lost.forEach((out, held) -> attemptEnded(held, out.attempt(), Relay.Outcome.BROKEN, false, 0,
+                    Relay.Report.NONE, 0));
             intake.bound(mostClients);
         }
     }
--- a/src/main/java/kestreldeal/net/Succession.java
+++ b/src/main/java/kestreldeal/net/Succession.java
@@ -42,8 +42,8 @@
     }
 
     /** How an attempt ended that the process before made. */
-    record OutEnd(long message, int attempt, Relay.Outcome outcome, boolean gone, double waitMs, double toldRate,
-                  double tookMs) {
+    record OutEnd(long message, int attempt, Relay.Outcome outcome, boolean gone, double waitMs,
+                  Relay.Report report, double tookMs) {
     }
 
     /** The sender's side. */
--- a/src/test/java/kestreldeal/Bench.java
+++ b/src/test/java/kestreldeal/Bench.java
@@ -39,6 +39,7 @@
     boolean strict;
     double listedRate;
     double toldRate;
+    double toldLeft = -1;
     double now;
 
     private final PriorityQueue<Due> due =
@@ -149,7 +150,7 @@
             over.add(message);
         }
         relay.attemptEnded(now, new Relay.AttemptEnd(message, attempt, outcome, 10, finished, waitMs,
-                toldRate));
+                new Relay.Report(toldRate, toldLeft)));
         relay.endTurn(now);
     }
 
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -545,6 +545,26 @@
         assertEquals(6, b.sends.size());
     }
 
+    /** Found on the fleet days: each sender learned by its own refusals alone, which come late and cost all. */
+    @Test
+    void aPaceTurnsByTheShareOfTheLimitThatIsLeft() {
+        assertTrue(sentAmongManyWith(1) >= 16, "where all is left: " + sentAmongManyWith(1));
+        assertTrue(sentAmongManyWith(0.1) <= 6, "where little is left: " + sentAmongManyWith(0.1));
+        for (double spoilt : new double[] {Double.NaN, -2, 1e9}) {
+            assertEquals(sentAmongManyWith(-1), sentAmongManyWith(spoilt), "told " + spoilt);
+        }
+    }
+
+    /** Sends in the ten seconds after a refusal, of two messages handed in a second; the rest are delivered. */
+    private static long sentAmongManyWith(double left) {
+        Bench b = new Bench(100, 100).list(1, 10);
+        b.toldRate = 10;
+        b.toldLeft = left;
+        b.onSend = s -> b.endLater(s, b.sends.size() == 2 ? Outcome.FULL : Outcome.DELIVERED, 20);
+        b.takeEvery(500, SAFE, 1, 11_000);
+        return b.sends.stream().filter(s -> s.at() > 1000).count();
+    }
+
     /** Found on the long day: calls that got no answer held all slots until their time-outs. */
     @Test
     void callsWithoutAnswerGiveUpTheirSlotsToWhatWaits() {
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import kestreldeal.Relay.Outcome;
+import kestreldeal.Relay.Report;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -49,8 +50,9 @@
         stub = new Stub(Stub.status(200, ""));
         endpoints = new Endpoints(loop, 1000, 15_000, 4, new Endpoints.Ends() {
             @Override
-            public void ended(Endpoints.Call call, Outcome outcome, boolean gone, double waitMs, double toldRate) {
-                told.add(toldRate);
+            public void ended(Endpoints.Call call, Outcome outcome, boolean gone, double waitMs,
+                    Report report) {
+                told.add(report.rate());
                 ends.add(new End(outcome, gone, waitMs));
             }
 
