Pace what an earlier life held from the start

Each new life began unbounded, and sent all that it held in its first turn. At fault: Logic.resumed(), with a Limit that knows no refusal yet. Where the list gives a rate, what was held now goes at the even part of it, from a random moment on; answers let it grow.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -208,6 +208,7 @@
     public void resumed(double now, Message message, List<EarlierAttempt> attempts) {
         tick(now);
         Delivery d = take(message);
+        d.destination.targets.forEach(t -> t.limit.resumed());
         for (EarlierAttempt earlier : attempts) {
             Optional<Target> target = Optional.ofNullable(targets.get(earlier.endpoint()));
             Attempt attempt = new Attempt(d, target, earlier.sentAt());
@@ -789,6 +790,14 @@
             }
         }
 
+        /** Many lives may end at one moment, and must not send what they held at another. */
+        void resumed() {
+            if (rate == Double.POSITIVE_INFINITY && evenPart(0) > 0) {
+                rate = evenPart(0);
+                nextAt = clock + random.nextDouble() / rate;
+            }
+        }
+
         /** Each message of a call may be told its own wait, in turns of its own. */
         void told(double waitMs) {
             waitUntil = waitMs > 0 ? Math.max(waitUntil, clock + waitMs + CLOCK_MARGIN_MS) : waitUntil;
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -565,6 +565,21 @@
         return b.sends.stream().filter(s -> s.at() > 1000).count();
     }
 
+    /** Found on the fleet days: seven in ten senders came back at once, each with all that it had held. */
+    @Test
+    void whatManyEarlierLivesHeldIsPacedFromTheStart() {
+        Bench b = new Bench(100, 100);
+        b.listedRate = 50;
+        b.list(1, 10);
+        for (int id = 0; id < 10; id++) {
+            b.resume(id, SAFE, 1, 10_000, List.of());
+        }
+        b.until(1000);
+        assertTrue(b.sends.size() <= 1, "sent in the first second: " + b.sends.size());
+        b.until(9000);
+        assertTrue(b.sends.size() >= 2, "sent in nine seconds: " + b.sends.size());
+    }
+
     /** Found on the long day: calls that got no answer held all slots until their time-outs. */
     @Test
     void callsWithoutAnswerGiveUpTheirSlotsToWhatWaits() {
