Write a call only if its endpoint's told wait is over and it does not drain

With trace lines request could be followed. n2 decided it at 13.545 s and dialled, as no connection was idle.

At fault: Post.connected and Post.write in Endpoints, which ask Ends.mayStillGo; Sender answered that by the keyed window alone. The module is now asked too, for told waits and drains (the open item on drains is the same fault). It is one place that first sends, copies, new waves, batches and new lives pass; after a handover nothing unwritten goes out.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -315,14 +315,16 @@
         }
     }
 
+    @Override
+    public boolean mayStillGo(double now, long endpoint) {
+        return Optional.ofNullable(targets.get(endpoint))
+                .filter(target -> target.serving && target.limit.waitUntil <= now).isPresent();
+    }
+
     @Override
     public void withdrawn(double now, long message) {
         tick(now);
-        Delivery d = deliveries.get(message);
-        if (d != null && !d.ended) {
-            close(d);
-            forget(d);
-        }
+        Optional.ofNullable(deliveries.get(message)).ifPresent(this::close);
     }
 
     @Override
@@ -423,15 +425,11 @@
 
     /** The endpoint to send to among those that the gate lets pass; a copy goes elsewhere if it can. */
     private Optional<Target> choose(Delivery d, boolean copy) {
-        Target best = null;
-        boolean elsewhere = copy && d.destination.targets.stream().anyMatch(t -> t.serving && !d.isOutAt(t));
-        for (Target target : d.destination.targets) {
-            boolean passed = elsewhere && d.isOutAt(target) || copy && target.state == State.DOWN;
-            if (!passed && maySend(d, target) && (best == null || target.cost(d) < best.cost(d))) {
-                best = target;
-            }
-        }
-        return Optional.ofNullable(best);
+        List<Target> all = d.destination.targets;
+        boolean elsewhere = copy && all.stream().anyMatch(t -> t.serving && !d.isOutAt(t));
+        return all.stream()
+                .filter(t -> !(elsewhere && d.isOutAt(t) || copy && t.state == State.DOWN) && maySend(d, t))
+                .min(Comparator.comparingDouble(t -> t.cost(d)));
     }
 
     /** The gate that every send passes: first send, copy and new wave. */
@@ -565,7 +563,6 @@
             actions.fail(d.message.id());
         }
         close(d);
-        forget(d);
     }
 
     /** Ends a message and cancels what is redundant. */
@@ -581,6 +578,7 @@
                 actions.cancel(d.message.id(), i);
             }
         }
+        forget(d);
     }
 
     private void forget(Delivery d) {
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -67,6 +67,13 @@
      */
     void attemptEnded(double now, AttemptEnd end);
 
+    /**
+     * Whether a call that was decided earlier may still be written to its endpoint: while the rest of the turn, or
+     * a connect, took its time a wait may have been told, or that it drains. A question and no event: its time may
+     * be later than that of the open turn.
+     */
+    boolean mayStillGo(double now, long endpoint);
+
     /** Nobody waits for this message any more; no answer is owed. */
     void withdrawn(double now, long message);
 
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -112,7 +112,7 @@
      * another address are of no more use.
      */
     void at(long endpoint, InetSocketAddress address, boolean serving, int batch) {
-        Peer peer = peers.computeIfAbsent(endpoint, e -> new Peer());
+        Peer peer = peers.computeIfAbsent(endpoint, Peer::new);
         if (!serving || !address.equals(peer.address)) {
             closeIdle(endpoint);
         }
@@ -180,12 +180,17 @@
     }
 
     private final class Peer {
+        final long endpoint;
         InetSocketAddress address;
         int batch = 1;
         final Deque<Connection> idle = new ArrayDeque<>();
         /** The post of this turn that calls may still join, if it has not gone out. */
         private Post next;
 
+        Peer(long endpoint) {
+            this.endpoint = endpoint;
+        }
+
         /** A post is written once the turn is over, so that all calls of the turn are in it. */
         Post postFor(Held held) {
             if (next == null || !next.takes(held)) {
@@ -231,6 +236,10 @@
             return post.number;
         }
 
+        long endpoint() {
+            return post.peer.endpoint;
+        }
+
         private void timedOut() {
             end(post.mayArrive() ? Outcome.TIMED_OUT : Outcome.UNREACHABLE);
             post.closeIfOver();
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -293,12 +293,17 @@
     private double openTurn() {
         if (!turnOpen) {
             turnOpen = true;
-            clock = (System.nanoTime() - startNanos) / 1e6;
+            clock = now();
             loop.execute(this::endTurn);
         }
         return clock;
     }
 
+    /** Milliseconds since the start. */
+    private double now() {
+        return (System.nanoTime() - startNanos) / 1e6;
+    }
+
     private void endTurn() {
         event(() -> relay.endTurn(clock));
         turnOpen = false;
@@ -429,11 +434,15 @@
         }
 
         /**
-         * The module keeps repeats of a keyed message inside its window, by the time at which it decides. Where
-         * the CPU is scarce, as after a start, or a connect takes long, the window may pass before the write.
+         * The module keeps told waits, drains and the windows of keyed messages by the time at which it decides.
+         * Where the CPU is scarce, as after a start, or a connect takes long, that may have changed at the write.
+         * After a handover what is not written is the other process's to send.
          */
         @Override
         public boolean mayStillGo(Endpoints.Call call) {
+            if (handedOver || !relay.mayStillGo(now(), call.endpoint())) {
+                return false;
+            }
             Relay.MessageClass type = config.settings().classes()
                     .get(config.classes().indexOf(call.held.messageClass));
             return type.effect() != Relay.Effect.KEYED || call.held.isInWindow(call.attempt,
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -231,6 +231,22 @@
         assertEquals(2, b.sends.size());
     }
 
+    /** Found on zone+brink+mass: a wait was told between the decision and the write. */
+    @Test
+    void whatWasDecidedMayNotGoBeforeAToldWaitIsOver() {
+        Bench b = new Bench().list(1, 10, 11);
+        b.take(1, SAFE, 1);
+        assertTrue(b.relay.mayStillGo(b.now, 11));
+        b.end(1, 0, Outcome.FULL, 700);
+        for (long endpoint : List.of(10L, 11L)) {
+            assertFalse(b.relay.mayStillGo(b.now + 699, endpoint));
+            assertTrue(b.relay.mayStillGo(b.now + 702, endpoint));
+        }
+        b.entry(10, 1, 0, 0, false);
+        assertFalse(b.relay.mayStillGo(b.now + 702, 10));
+        assertFalse(b.relay.mayStillGo(b.now + 702, 99), "never listed");
+    }
+
     @Test
     void aToldWaitBindsOneRouteWhereRoutesAreSeparate() {
         Bench b = new Bench().entry(10, 1, 2, 0, true).entry(11, 1, 2, 0, true);
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -45,6 +45,7 @@
     private volatile int reportStatus = 204;
     private boolean known = true;
     private int batch = 1;
+    private int dialMs = 1000;
     private boolean links = true;
     private String listen = "127.0.0.1:0";
     private Sender sender;
@@ -125,9 +126,10 @@
                  "settings":{"classes":[%s],"tenants":[{"name":"acme"}],"flavors":["m"],"zones":["a"],
                   "family_info":{"workers":10,"batch_by_kind":[%d],"separate_routes":[false]},
                   "fleet_size":1,"limits":{"most_tries":12,"second_copies":false,"cancel":true,"max_open":%d,
-                   "dial_timeout_ms":1000,"keepalive_ms":15000},
+                   "dial_timeout_ms":%d,"keepalive_ms":15000},
                   "rules":{"start_capacity":0.2,"warm_after_ms":12000,"fall_multiple":2,"fall_ms":1500}}}
-                """.formatted(listen, agent.hostPort(), known ? list() : "null", classes, batch, MAX_OPEN));
+                """.formatted(listen, agent.hostPort(), known ? list() : "null", classes, batch, MAX_OPEN,
+                        dialMs));
         return Config.read(environment());
     }
 
@@ -588,6 +590,47 @@
         }
     }
 
+    /** Has the first endpoint's connections come up late, and gives a message to each of the two. */
+    private void startWithALateConnect(Stub.Script first, Stub.Script other) throws Exception {
+        dialMs = 20_000;
+        endpoints.get(0).close();
+        endpoints.set(0, Stub.busy(first));
+        endpoints.get(1).script(other);
+        start();
+        handIn("late", "order");
+        handIn("two", "order");
+        Stub.await("the call that connects", () -> endpoints.get(1).requests.size() == 1);
+    }
+
+    /** Found on zone+brink+mass: a connect took 0.35 s, and meanwhile the destination told to wait for 0.62 s. */
+    @Test
+    void aToldWaitIsKeptByACallThatConnectsLate() throws Exception {
+        Stub.Script taken = Stub.status(200, "");
+        startWithALateConnect(taken, (request, socket) -> {
+            endpoints.get(1).script(taken);
+            Stub.status(429, "Retry-After: 2\r\n").come(request, socket);
+        });
+        endpoints.get(0).accepts();
+        awaitNothingHeld();
+        assertEquals(3, calls().size());
+        long told = endpoints.get(1).requests.get(0).atNanos();
+        assertEquals(2, calls().stream().filter(c -> c.atNanos() - told >= 2_000_000_000L).count());
+    }
+
+    @Test
+    void nothingIsWrittenLateToAnEndpointThatDrains() throws Exception {
+        Stub.Script taken = Stub.status(200, "");
+        startWithALateConnect(taken, taken);
+        states = "DRAINING SERVING";
+        String generation = generation();
+        Stub.await("the list is read", () -> agent.requests.stream()
+                .anyMatch(r -> r.line().contains("after=" + generation)));
+        endpoints.get(0).accepts();
+        awaitNothingHeld();
+        assertTrue(endpoints.get(0).requests.isEmpty());
+        assertEquals(2, endpoints.get(1).requests.size());
+    }
+
     @Test
     void nothingNewGoesToADrainingEndpoint() throws Exception {
         start();
--- a/src/test/java/kestreldeal/net/Stub.java
+++ b/src/test/java/kestreldeal/net/Stub.java
@@ -41,8 +41,27 @@
     private final AtomicInteger ended = new AtomicInteger();
 
     Stub(Script script) throws IOException {
+        this(script, 50);
+        accepts();
+    }
+
+    private Stub(Script script, int backlog) throws IOException {
         this.script = script;
-        this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.server = new ServerSocket(0, backlog, InetAddress.getLoopbackAddress());
+    }
+
+    /** One whose queue of connections is full: others come up late, a second or more after {@link #accepts}. */
+    static Stub busy(Script script) throws IOException {
+        Stub stub = new Stub(script, 1);
+        // The system's queue holds one more than it is told.
+        for (int i = 0; i < 2; i++) {
+            stub.sockets.add(new Socket(stub.address().getAddress(), stub.address().getPort()));
+        }
+        return stub;
+    }
+
+    /** Takes connections from now on. */
+    void accepts() {
         daemon(this::accept);
     }
 
