--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -547,7 +547,8 @@
      * past heads of 1xx answers and leaves all else to the codec.
      */
     private static final class HeadLines extends ChannelInboundHandlerAdapter {
-        private static final int LONGEST = 4096;
+        /** What the codec allows for a whole head. */
+        private static final int LONGEST = 8192;
         private static final String START = "HTTP/1.";
         /** HTTP/1.1, a code of three digits, and a reason if any. */
         private static final Pattern STATUS = Pattern.compile("HTTP/1\\.[01] (\\d{3})(?: .*)?");
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -162,7 +162,8 @@
     private Void open() throws IOException {
         int sockets = Math.max(config.sockets() - OTHER_SOCKETS, 64);
         mostClients = (int) (sockets * CLIENT_SHARE);
-        int mostIdle = Math.max(1, sockets - mostClients - config.settings().slots());
+        // Twice the slots: the connection of a call that was given up lingers while its slot is in use again.
+        int mostIdle = Math.max(1, sockets - mostClients - 2 * config.settings().slots());
         endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(), mostIdle,
                 new Calls());
         agentAddress = config.discovery();
