Read nothing more from clients once a sender ends

Looked for where a request could be read and get no answer. After SIGTERM clients send on every connection that stays open, up to SIGKILL; the sender ends at 3.3 s with such connections open (Sender.awaitIdle). From the word that it has stopped until the process is gone its loop went on reading: what came in these milliseconds could be read, also taken on, and the connection end with no answer.

Now the loop lets go of all clients in the turn in which it stops. What was read by then is answered (Intake.take runs before), a request that came in part gets a 503, and one that was not read crosses a close, which its client sends again. The test fails without it: its connections stay open after the end.

--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -171,6 +171,14 @@
         listener.close();
     }
 
+    /**
+     * Lets go of all clients: this process ends. What was read is answered by now, and nothing more is read, since it
+     * could be taken and the process gone before its answer is out. A client sends again what was not read.
+     */
+    void shut() {
+        clients.values().stream().flatMap(Set::stream).toList().forEach(Client::letGo);
+    }
+
     /**
      * Sends the clients away, or takes them back. The front hears of it from {@code /healthz}, for which the
      * listener stays open; a client by the answer that ends its connection. Only what was idle for long is closed
@@ -347,6 +355,13 @@
             }
         }
 
+        private void letGo() {
+            if (begun && state != State.ENDING) {
+                last(HttpResponseStatus.SERVICE_UNAVAILABLE, "the sender ends");
+            }
+            channel.close();
+        }
+
         /** Answers what was not read to its end, and closes a little later. */
         private void last(HttpResponseStatus status, String text) {
             enter(State.ENDING);
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -808,6 +808,7 @@
         if (idle || System.nanoTime() - begun >= TimeUnit.MILLISECONDS.toNanos(closingMs)) {
             Log.line(config.name() + " ends; " + (handedOver ? calls.size() + " attempts are out"
                     : "its journal holds " + open.size() + " messages and " + notices.owed() + " notices"));
+            intake.shut();
             stopped.countDown();
             return;
         }
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -368,6 +368,27 @@
         end.join();
     }
 
+    /** What is read just before the process is gone would be taken and not answered. */
+    @Test
+    void nothingIsReadOnceASenderEnds() throws Exception {
+        script(Stub.silent());
+        start(700);
+        handIn("one", "order");
+        Socket idle = client();
+        Socket inPart = client();
+        String health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+        assertEquals("HTTP/1.1 200 OK", ask(idle, health).line());
+        assertEquals("HTTP/1.1 200 OK", ask(inPart, health).line());
+        Stub.write(inPart, "POST /order HTTP/1.1\r\n");
+        sender.drain();
+        idle.setSoTimeout(30_000);
+        assertEquals(-1, idle.getInputStream().read());
+        inPart.setSoTimeout(30_000);
+        assertEquals("HTTP/1.1 503 Service Unavailable",
+                Stub.read(new BufferedInputStream(inPart.getInputStream()), 0).line());
+        assertEquals(1, journalled().size());
+    }
+
     // ---- two processes ----
 
     /** Starts a second process beside the one that serves. */
