Take SIGHUP also where the process was started with it ignored

A JVM keeps an inherited ignore of SIGHUP whatever handler is set, and the bench's children inherit it.

At fault: run in deploy/balancer.toml, which takes the signal's state as it finds it; Hangup did not notice. Hangup now says so where the signal stays ignored. The test starts the process as the deploy file does, with SIGHUP ignored; it failed without the mend.

--- a/src/main/java/kestreldeal/net/Hangup.java
+++ b/src/main/java/kestreldeal/net/Hangup.java
@@ -9,7 +9,8 @@
 
 /**
  * SIGHUP, which by default ends a JVM. Java has no supported interface to signals, so the JDK's own one is
- * called by reflection: the compiler warns of any mention of it, and a JVM without it only loses the reload.
+ * called by reflection: the compiler warns of any mention of it, and a JVM without it only loses the reload. So does
+ * one that was started with SIGHUP ignored, as by nohup; the command in the deploy file undoes that.
  */
 final class Hangup {
     private Hangup() {
@@ -30,8 +31,12 @@
                     .findVirtual(Runnable.class, "run", MethodType.methodType(void.class)).bindTo(handed);
             Object proxy = MethodHandleProxies.asInterfaceInstance(handler,
                     MethodHandles.dropArguments(run, 0, signal));
-            signal.getMethod("handle", signal, handler)
+            Object before = signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
+            if (before == handler.getField("SIG_IGN").get(null)) {
+                Log.line("SIGHUP was ignored when this process was started, and the JVM keeps to that:"
+                        + " a new configuration needs a restart");
+            }
         } catch (ReflectiveOperationException | IllegalArgumentException e) {
             Log.line("SIGHUP can't be handled here: " + e);
         }
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -951,8 +951,19 @@
     /** The program itself, as a process: SIGHUP moves it and does not end it; SIGTERM still drains. */
     @Test
     void theProcessMovesOnSighup() throws Exception {
-        config();
-        Process process = process();
+        moveOnSighup(process());
+    }
+
+    /** As under nohup, whose children a JVM takes at their word; the deploy file's command must not. */
+    @Test
+    void theProcessMovesOnSighupWhereThatWasIgnoredAtItsStart() throws Exception {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
+        String java = run.substring(run.indexOf('"') + 1, run.indexOf(" java ")) + " \"$0\" \"$@\"";
+        moveOnSighup(process("sh", "-c", "trap '' HUP; " + java));
+    }
+
+    private void moveOnSighup(Process process) throws Exception {
         List<String> told = new CopyOnWriteArrayList<>();
         Stub old = agent;
         try (Stub fresh = secondAgent(told)) {
@@ -1258,9 +1269,13 @@
         assertFalse(second.isAlive());
     }
 
-    private Process process() throws Exception {
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
-                "-cp", System.getProperty("java.class.path"), "kestreldeal.Main", "serve");
+    /** The program as a process, started by this command, if any, which gets the plain one behind its words. */
+    private Process process(String... by) throws Exception {
+        config();
+        List<String> command = new ArrayList<>(List.of(by));
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin/java").toString(), "-cp",
+                System.getProperty("java.class.path"), "kestreldeal.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().putAll(environment());
         Path log = Files.createTempFile(folder, "log", "");
         Process process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
