Keep an attempt that could not be journalled from shifting the records of others

Where there is no further attempt the start would end in an IndexOutOfBoundsException (reasoned, not seen). Each attempt now knows its place among the records; one without a record writes none.

--- a/src/main/java/kestreldeal/net/Held.java
+++ b/src/main/java/kestreldeal/net/Held.java
@@ -21,6 +21,8 @@
     long timeUpMs;
     final byte[] body;
     final List<Attempt> attempts = new ArrayList<>();
+    /** How many of them the journal has a record of. */
+    int attemptRecords;
     Optional<Notice> owed = Optional.empty();
     /** Bytes of its records in the journal. */
     long bytes;
@@ -31,9 +33,14 @@
 
     /** An attempt; it may have run unless its end proved otherwise, whatever became of this process. */
     static final class Attempt {
+        /** The journal has no record of it. */
+        static final int UNRECORDED = -1;
+
         final String endpoint;
         final long sentAtMs;
         boolean neverRan;
+        /** Its place among the records of the message's attempts: one that could not be written leaves no gap. */
+        int record = UNRECORDED;
 
         Attempt(String endpoint, long sentAtMs) {
             this.endpoint = endpoint;
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -101,16 +101,25 @@
         live.put(held.number, held);
     }
 
-    /** An attempt is about to be made; it counts as one that may have run from here on. */
+    /**
+     * An attempt is about to be made; it counts as one that may have run from here on. If it can't be recorded it
+     * must not be made; it keeps its place among the attempts all the same, as one that never ran.
+     */
     void attempt(Held held, Held.Attempt attempt) throws IOException {
-        append(held, record(attemptRecord(held, attempt)));
         held.attempts.add(attempt);
+        attempt.neverRan = true;
+        append(held, record(attemptRecord(held, attempt)));
+        attempt.neverRan = false;
+        attempt.record = held.attemptRecords++;
     }
 
     /** An end proved that the attempt never ran; if this is lost, it counts as one that may have. */
-    void neverRan(Held held, int attempt) throws IOException {
-        held.attempts.get(attempt).neverRan = true;
-        append(held, record(neverRanRecord(held, attempt)));
+    void neverRan(Held held, int number) throws IOException {
+        Held.Attempt attempt = held.attempts.get(number);
+        attempt.neverRan = true;
+        if (attempt.record != Held.Attempt.UNRECORDED) {
+            append(held, record(neverRanRecord(held, attempt.record)));
+        }
     }
 
     /** The message has ended by a notice that is still to be heard. */
@@ -301,10 +310,13 @@
         }
         for (Held held : live.values()) {
             bytes.write(record(takenRecord(held)));
-            for (int i = 0; i < held.attempts.size(); i++) {
-                bytes.write(record(attemptRecord(held, held.attempts.get(i))));
-                if (held.attempts.get(i).neverRan) {
-                    bytes.write(record(neverRanRecord(held, i)));
+            for (Held.Attempt attempt : held.attempts) {
+                if (attempt.record == Held.Attempt.UNRECORDED) {
+                    continue;
+                }
+                bytes.write(record(attemptRecord(held, attempt)));
+                if (attempt.neverRan) {
+                    bytes.write(record(neverRanRecord(held, attempt.record)));
                 }
             }
             if (held.owed.isPresent()) {
@@ -374,7 +386,11 @@
             return;
         }
         switch (type) {
-            case ATTEMPT -> held.attempts.add(new Held.Attempt(in.readUTF(), in.readLong()));
+            case ATTEMPT -> {
+                Held.Attempt attempt = new Held.Attempt(in.readUTF(), in.readLong());
+                held.attempts.add(attempt);
+                attempt.record = held.attemptRecords++;
+            }
             case NEVER_RAN -> held.attempts.get(in.readInt()).neverRan = true;
             case OWED -> {
                 held.owed = Optional.of(new Held.Notice(in.readBoolean(), in.readDouble()));
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -338,7 +338,6 @@
         } catch (IOException e) {
             // Unrecorded it could run twice: it is not made.
             Log.line("no attempt without the journal: " + e.getMessage());
-            held.attempts.add(attempt);
             loop.execute(() -> attemptEnded(held, number, Relay.Outcome.NOT_SENT, false, 0, Relay.Report.NONE, 0));
             return;
         }
--- a/src/test/java/kestreldeal/net/JournalTest.java
+++ b/src/test/java/kestreldeal/net/JournalTest.java
@@ -197,4 +197,36 @@
             assertEquals(0, journal.size());
         }
     }
+
+    /** Else an attempt that may have run is taken for one that never did, or the next start ends in a fault. */
+    @Test
+    void anAttemptThatCouldNotBeRecordedMovesNoOther() throws Exception {
+        String vast = "e".repeat(60_000);
+        try (Journal journal = open()) {
+            Held held = held(journal, 3);
+            Held other = held(journal, 3);
+            journal.taken(held);
+            journal.taken(other);
+            journal.attempt(other, new Held.Attempt(vast, 1));
+            journal.attempt(held, new Held.Attempt("s-1", 100));
+            assertThrows(IOException.class, () -> {
+                while (true) {
+                    journal.attempt(held, new Held.Attempt(vast, 200));
+                }
+            });
+            int unrecorded = held.attempts.size() - 1;
+            journal.ended(other);
+            journal.neverRan(held, unrecorded);
+            journal.attempt(held, new Held.Attempt("s-3", 300));
+        }
+        for (int life = 0; life < 2; life++) {
+            try (Journal journal = open()) {
+                Held held = journal.held().iterator().next();
+                Held.Attempt last = held.attempts.get(held.attempts.size() - 1);
+                assertEquals("s-3", last.endpoint);
+                assertTrue(held.attempts.stream().noneMatch(a -> a.neverRan), "each that was made may have run");
+                journal.handOver();
+            }
+        }
+    }
 }
