Know the ids of messages that are over in the next life too

A message that nothing was done for, since its client never heard of it, leaves no id. Both tests were seen to fail without it (the restart's: 202 for an id that had ended as dead).

--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -15,6 +15,7 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -37,6 +38,7 @@
     private static final int OWED = 4;
     private static final int ENDED = 5;
     private static final int HEALTH = 6;
+    private static final int OVER = 7;
     /** Length and checksum. */
     private static final int HEAD = 12;
     /** Longest record that is believed: a longer one is a torn or foreign length. */
@@ -44,6 +46,9 @@
     /** Room for the later records of a message: for each attempt, and for its end. */
     private static final int ATTEMPT_ROOM = 128;
     private static final int END_ROOM = 64;
+    /** Ids of messages that are over are known for as many, in this part of the room at most. */
+    private static final int MOST_OVER = 4096;
+    private static final int OVER_PART = 16;
     /** Files count in whole blocks: two files, those of {@link Succession}, and a block to spare. */
     private static final int BLOCKS = 5 * 512;
 
@@ -53,6 +58,9 @@
     private final long messageRoom;
     private final boolean first;
     private final Map<Long, Held> live = new TreeMap<>();
+    /** Ids of messages that were over last, the oldest first, and whether they were delivered. */
+    private final Map<String, Boolean> over = new LinkedHashMap<>();
+    private long overBytes;
     /** What the module last knew of endpoints that are not in service. */
     private final Map<String, Health> health = new TreeMap<>();
     private FileChannel channel;
@@ -125,6 +133,7 @@
     /** The message has ended by a notice that is still to be heard. */
     void owed(Held held, Held.Notice notice) throws IOException {
         held.owed = Optional.of(notice);
+        isOver(held.id, false);
         append(held, record(owedRecord(held, notice)));
     }
 
@@ -132,6 +141,7 @@
     void ended(Held held) throws IOException {
         if (live.remove(held.number) != null) {
             liveBytes -= held.bytes;
+            wasEnded(held);
             write(record(out -> {
                 out.writeByte(ENDED);
                 out.writeLong(held.number);
@@ -139,6 +149,41 @@
         }
     }
 
+    /** Whether the message with this id was delivered, if it is one of those that were over last. */
+    Optional<Boolean> deliveredBefore(String id) {
+        return Optional.ofNullable(over.get(id));
+    }
+
+    /** Ids of messages that were over last, the oldest first, and whether they were delivered. */
+    Map<String, Boolean> over() {
+        return new LinkedHashMap<>(over);
+    }
+
+    /** A message of this id is over: it must not be taken on again, neither in this life nor in a later one. */
+    void isOver(String id, boolean delivered) {
+        if (over.put(id, delivered) == null) {
+            overBytes += overSize(id);
+            liveBytes += overSize(id);
+        }
+        while (over.size() > MOST_OVER || overBytes > bound / OVER_PART) {
+            String oldest = over.keySet().iterator().next();
+            over.remove(oldest);
+            overBytes -= overSize(oldest);
+            liveBytes -= overSize(oldest);
+        }
+    }
+
+    /** One that nothing was ever done for was not taken on, as far as its client knows. */
+    private void wasEnded(Held held) {
+        if (held.owed.isPresent() || !held.attempts.isEmpty()) {
+            isOver(held.id, held.owed.isEmpty());
+        }
+    }
+
+    private static int overSize(String id) {
+        return record(overRecord(id, true)).length;
+    }
+
     /** An endpoint's state, since when on the wall clock, and the rate that it carried before. */
     record Health(Relay.State state, long sinceMs, double carriedPerMs) {
     }
@@ -257,6 +302,16 @@
         };
     }
 
+    private static Body overRecord(String id, boolean delivered) {
+        return out -> {
+            out.writeByte(OVER);
+            // Where the other records have a message's number.
+            out.writeLong(0);
+            out.writeUTF(id);
+            out.writeBoolean(delivered);
+        };
+    }
+
     private static Body healthRecord(String endpoint, Health health) {
         return out -> {
             out.writeByte(HEALTH);
@@ -308,6 +363,9 @@
         for (Map.Entry<String, Health> known : health.entrySet()) {
             bytes.write(record(healthRecord(known.getKey(), known.getValue())));
         }
+        for (Map.Entry<String, Boolean> known : over.entrySet()) {
+            bytes.write(record(overRecord(known.getKey(), known.getValue())));
+        }
         for (Held held : live.values()) {
             bytes.write(record(takenRecord(held)));
             for (Held.Attempt attempt : held.attempts) {
@@ -368,6 +426,10 @@
             keep(in.readUTF(), new Health(Relay.State.values()[in.readByte()], number, in.readDouble()), length);
             return;
         }
+        if (type == OVER) {
+            isOver(in.readUTF(), in.readBoolean());
+            return;
+        }
         numbers = Math.max(numbers, number + 1);
         if (type == TAKEN) {
             String id = in.readUTF();
@@ -395,10 +457,12 @@
             case OWED -> {
                 held.owed = Optional.of(new Held.Notice(in.readBoolean(), in.readDouble()));
                 held.over = true;
+                isOver(held.id, false);
             }
             case ENDED -> {
                 live.remove(number);
                 liveBytes -= held.bytes;
+                wasEnded(held);
                 return;
             }
             default -> throw new IOException("unknown record " + type);
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -11,7 +11,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -32,8 +31,6 @@
     private static final int OTHER_SOCKETS = 48 + Ops.MOST;
     /** Share of the rest for clients, who may hold a third of all for requests; the others are for calls. */
     private static final double CLIENT_SHARE = 0.5;
-    /** Ids of messages that are over are known for as many messages, lest one be taken on twice. */
-    private static final int ENDED_KNOWN = 4096;
     /**
      * A request may stand unread where the CPU is scarce, for the 400 ms that its client waits, and its budget
      * runs from when it was sent; a notice takes a turn or two of a loop that is as late. So a message is ended
@@ -69,15 +66,6 @@
     /** What is held and not over, by the module's number, and by the client's id. */
     private final Map<Long, Held> open = new HashMap<>();
     private final Map<String, Held> byId = new HashMap<>();
-    /** Ids of messages that were over last, and whether they were delivered. */
-    private final Map<String, Boolean> ended = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > ENDED_KNOWN;
-        }
-    };
     /** Destinations that a list has named. */
     private final Set<Long> destinations = new HashSet<>();
     /** Attempts that are out, by message and attempt. */
@@ -273,7 +261,7 @@
     }
 
     private void recall(Succession.Legacy told) {
-        ended.putAll(told.ended());
+        told.ended().forEach(journal::isOver);
         List<Relay.Known> known = new ArrayList<>();
         for (Relay.Known k : told.memory().endpoints()) {
             known.add(k.at(endpointNumber(told.endpoints().get(known.size()))));
@@ -401,7 +389,6 @@
 
     private void end(Held held, Held.Notice notice) {
         over(held);
-        ended.put(held.id, false);
         try {
             journal.owed(held, notice);
         } catch (IOException e) {
@@ -469,7 +456,6 @@
         try {
             if (!held.over && (gone || outcome == Relay.Outcome.DELIVERED)) {
                 over(held);
-                ended.put(held.id, true);
                 if (outcome == Relay.Outcome.DELIVERED) {
                     figures.ended(held.messageClass, Figures.End.COMPLETED);
                 }
@@ -615,7 +601,7 @@
             if (byId.containsKey(id)) {
                 return Optional.of(HttpResponseStatus.ACCEPTED);
             }
-            return Optional.ofNullable(ended.get(id)).map(delivered ->
+            return journal.deliveredBefore(id).map(delivered ->
                     delivered ? HttpResponseStatus.ACCEPTED : HttpResponseStatus.CONFLICT);
         }
 
@@ -697,7 +683,7 @@
             Relay.Memory memory = relay.memory(openTurn());
             List<Succession.OutAttempt> out = new ArrayList<>();
             calls.forEach((o, call) -> out.add(new Succession.OutAttempt(o.message(), o.attempt(), call.post())));
-            return new Succession.Legacy(ended, out,
+            return new Succession.Legacy(journal.over(), out,
                     memory.endpoints().stream().map(known -> endpointIds.get(known.endpoint())).toList(), memory);
         }
 
--- a/src/test/java/kestreldeal/net/JournalTest.java
+++ b/src/test/java/kestreldeal/net/JournalTest.java
@@ -229,4 +229,43 @@
             }
         }
     }
+
+    @Test
+    void idsThatAreOverOutlastLivesAndCompactions() throws Exception {
+        try (Journal journal = open()) {
+            Held delivered = held(journal, 3);
+            Held owed = held(journal, 3);
+            Held heard = held(journal, 3);
+            Held untold = held(journal, 3);
+            for (Held h : List.of(delivered, owed, heard, untold)) {
+                journal.taken(h);
+            }
+            journal.attempt(delivered, new Held.Attempt("s-1", 100));
+            journal.ended(delivered);
+            journal.owed(owed, new Held.Notice(true, 500));
+            journal.owed(heard, new Held.Notice(false, 0));
+            journal.ended(heard);
+            journal.ended(untold);
+        }
+        for (int life = 0; life < 3; life++) {
+            try (Journal journal = open()) {
+                assertEquals(Map.of("id-0", true, "id-1", false, "id-2", false), journal.over());
+                assertEquals(Optional.empty(), journal.deliveredBefore("id-3"), "its client never heard of it");
+                journal.handOver();
+            }
+        }
+    }
+
+    @Test
+    void idsThatAreOverTakeLittleRoom() throws Exception {
+        try (Journal journal = open()) {
+            for (int i = 0; i < 6000; i++) {
+                journal.isOver("9b1f03aa5c7e2d41-" + i, true);
+            }
+            assertEquals(Optional.of(true), journal.deliveredBefore("9b1f03aa5c7e2d41-5999"));
+            assertEquals(Optional.empty(), journal.deliveredBefore("9b1f03aa5c7e2d41-0"));
+            journal.handOver();
+            assertTrue(journal.size() <= DISK / 16, "bytes: " + journal.size());
+        }
+    }
 }
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -1116,6 +1116,21 @@
         assertTrue(journalled().isEmpty());
     }
 
+    /** Else what was delivered, or may have been, is delivered again. */
+    @Test
+    void anIdThatIsOverIsNotTakenAgainInTheNextLife() throws Exception {
+        start();
+        handIn("one", "once");
+        awaitNothingHeld();
+        script(Stub.status(500, ""));
+        handIn("two", "once");
+        awaitNotice("{\"ref\":\"two\",\"result\":\"dead\"}");
+        killAndStart();
+        handIn("one", "once");
+        assertEquals("409", ask(client(), message("two", "once", "hello")).line().split(" ")[1]);
+        assertEquals(2, calls().size());
+    }
+
     @Test
     void bodiesMayHaveSixtyFourKibAndAnyBytes() throws Exception {
         start();
