Write a call only once what had come before is read, however long the loop was held up

The wait's own slack is 0.1 s.

Ruled out: spoilt answers (the kinds of answers in three of the traces were looked through; none with a wait is dropped before its Retry-After is read). The check at the write is there, but it knows what was read only.

At fault: Peer.postFor and Post.connected, which write in the same run of tasks. A call now goes out behind a reading of the sockets that ended at most 50 ms after it was asked for. Two tests force the crossing with a loop held up in a task, and in its reading; each fails without its guard.

--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -66,6 +66,8 @@
     private static final double LONGEST_WAIT_MS = TimeUnit.DAYS.toMillis(1);
     /** For so long an answer may still come that crossed the end of its call. */
     private static final long CROSSING_MS = 100;
+    /** A call is written so long at most after the sockets were last read: it has 100 ms from when a wait is told. */
+    private static final long READ_MS = 50;
 
     /**
      * Told of the end of each call; {@code gone}: the message is over, whatever else is true.
@@ -180,6 +182,22 @@
         return idle;
     }
 
+    /**
+     * Runs this once all that had come a moment before has been read: a wait binds from when it is written, not from
+     * when the loop finds the time to read it. A timer runs only after the sockets have been read; if that took
+     * long, more has come.
+     */
+    private void onceRead(Runnable then) {
+        long asked = System.nanoTime();
+        loop.schedule(() -> {
+            if (System.nanoTime() - asked > TimeUnit.MILLISECONDS.toNanos(READ_MS)) {
+                onceRead(then);
+            } else {
+                then.run();
+            }
+        }, 0, TimeUnit.NANOSECONDS);
+    }
+
     /** Closes what an endpoint would soon close itself: a call that crosses its close would be lost. */
     private void sweep() {
         for (Peer peer : peers.values()) {
@@ -200,11 +218,17 @@
             this.endpoint = endpoint;
         }
 
-        /** A post is written once the turn is over, so that all calls of the turn are in it. */
+        /** A post is written once the turn is over, so that all calls of the turn, and no others, are in it. */
         Post postFor(Held held) {
             if (next == null || !next.takes(held)) {
-                next = new Post(this);
-                loop.execute(next::start);
+                Post post = new Post(this);
+                next = post;
+                loop.execute(() -> {
+                    if (next == post) {
+                        next = null;
+                    }
+                    onceRead(post::start);
+                });
             }
             return next;
         }
@@ -338,9 +362,6 @@
         }
 
         private void start() {
-            if (peer.next == this) {
-                peer.next = null;
-            }
             if (waiting().isEmpty()) {
                 return;
             }
@@ -361,7 +382,7 @@
             Connection fresh = f.channel().pipeline().get(Connection.class);
             fresh.peer = peer;
             fresh.address = dialled;
-            write(fresh);
+            onceRead(() -> write(fresh));
         }
 
         private void write(Connection on) {
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -32,6 +32,8 @@
 class EndpointsTest {
     private static final double LONG_MS = 20_000;
     private static final int BATCH = 3;
+    /** A second endpoint, where a test has one. */
+    private static final long OTHER = 2;
 
     private record End(Outcome outcome, boolean gone, double waitMs) {
     }
@@ -45,30 +47,41 @@
     private Stub stub;
     /** The message whose call may not be written any more. */
     private volatile String tooLate = "";
+    /** The message whose call may not be written once a wait is told. */
+    private volatile String waiting = "";
+    private volatile Runnable othersWaitTold = () -> { };
 
     @BeforeEach
     void open() throws Exception {
         stub = new Stub(Stub.status(200, ""));
-        endpoints = new Endpoints(loop, 1000, 15_000, 4, new Endpoints.Ends() {
-            @Override
-            public void ended(Endpoints.Call call, Outcome outcome, boolean gone, double waitMs,
-                    Report report) {
-                told.add(report.rate());
-                ends.add(new End(outcome, gone, waitMs));
-            }
+        endpoints = new Endpoints(loop, 1000, 15_000, 4, ends());
+        at(stub.address());
+    }
 
-            @Override
-            public void waitTold(long endpoint, double waitMs) {
-                assertEquals(1, endpoint);
-                waits.add(waitMs);
-            }
+    private Endpoints.Ends ends() {
+        return new Endpoints.Ends() {
+        @Override
+        public void ended(Endpoints.Call call, Outcome outcome, boolean gone, double waitMs,
+                Report report) {
+            told.add(report.rate());
+            ends.add(new End(outcome, gone, waitMs));
+        }
 
-            @Override
-            public boolean mayStillGo(Endpoints.Call call) {
-                return !call.held.id.equals(tooLate);
+        @Override
+        public void waitTold(long endpoint, double waitMs) {
+            if (endpoint == OTHER) {
+                othersWaitTold.run();
+                return;
             }
-        });
-        at(stub.address());
+            assertEquals(1, endpoint);
+            waits.add(waitMs);
+        }
+
+        @Override
+        public boolean mayStillGo(Endpoints.Call call) {
+            return !call.held.id.equals(tooLate) && !(call.held.id.equals(waiting) && !waits.isEmpty());
+        }
+    };
     }
 
     @AfterEach
@@ -366,6 +379,100 @@
         assertEquals(0, kept());
     }
 
+    /**
+     * Found on join+brink: the loop was held up for 0.4 s, and a call decided before was written while the answer that
+     * told to wait lay unread.
+     */
+    @Test
+    void aCallIsWrittenOnlyOnceWhatCameBeforeIsRead() throws Exception {
+        keepTwo();
+        CountDownLatch heldUp = new CountDownLatch(1);
+        CountDownLatch written = new CountDownLatch(1);
+        stub.script((request, socket) -> {
+            heldUp.await();
+            Stub.status(429, "Retry-After: 5\r\n").come(request, socket);
+            written.countDown();
+        });
+        startTogether("a");
+        Stub.await("the call is out", () -> stub.requests.size() == 3);
+        waiting = "b";
+        loop.submit(() -> {
+            endpoints.call(message("b"), 0, 1, LONG_MS, System.nanoTime());
+            heldUp.countDown();
+            written.await();
+            return null;
+        }).syncUninterruptibly();
+        expectEnds(new End(Outcome.FULL, false, 5000), plain(Outcome.NOT_SENT));
+        assertEquals(3, stub.requests.size());
+    }
+
+    /** The same where the loop is held up by its reading, and the answer comes while that lasts. */
+    @Test
+    void whereReadingTakesLongWhatCameMeanwhileIsReadBeforeACallIsWritten() throws Exception {
+        keepTwo();
+        CountDownLatch decided = new CountDownLatch(1);
+        CountDownLatch heldUp = new CountDownLatch(1);
+        CountDownLatch otherWritten = new CountDownLatch(1);
+        CountDownLatch written = new CountDownLatch(1);
+        stub.script((request, socket) -> {
+            heldUp.await();
+            Stub.status(429, "Retry-After: 5\r\n").come(request, socket);
+            written.countDown();
+        });
+        Stub.Script othersAnswer = (request, socket) -> {
+            decided.await();
+            Stub.status(429, "Retry-After: 1\r\n").come(request, socket);
+            otherWritten.countDown();
+        };
+        try (Stub other = new Stub(othersAnswer)) {
+            loop.submit(() -> endpoints.at(OTHER, other.address(), true, BATCH)).syncUninterruptibly();
+            startTogether("a");
+            loop.submit(() -> endpoints.call(message("c"), 0, OTHER, LONG_MS, System.nanoTime())).syncUninterruptibly();
+            Stub.await("both calls are out", () -> stub.requests.size() + other.requests.size() == 4);
+            othersWaitTold = () -> {
+                heldUp.countDown();
+                awaitUnchecked(written);
+                long from = System.nanoTime();
+                while (System.nanoTime() - from < TimeUnit.MILLISECONDS.toNanos(60)) {
+                    Thread.onSpinWait();
+                }
+            };
+            waiting = "b";
+            loop.submit(() -> {
+                endpoints.call(message("b"), 0, 1, LONG_MS, System.nanoTime());
+                decided.countDown();
+                otherWritten.await();
+                return null;
+            }).syncUninterruptibly();
+            List<End> all = List.of(end(), end(), end());
+            assertTrue(all.contains(plain(Outcome.NOT_SENT)), all.toString());
+            assertEquals(3, stub.requests.size());
+        }
+    }
+
+    /** Has two connections to the endpoint kept. */
+    private void keepTwo() throws Exception {
+        CountDownLatch both = new CountDownLatch(2);
+        stub.script((request, socket) -> {
+            both.countDown();
+            both.await();
+            Stub.status(200, "").come(request, socket);
+        });
+        for (String id : List.of("one", "two")) {
+            startTogether(id);
+        }
+        expectEnds(plain(Outcome.DELIVERED), plain(Outcome.DELIVERED));
+        Stub.await("both are kept", () -> kept() == 2);
+    }
+
+    private static void awaitUnchecked(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     @Test
     void aCallThatCantBeWrittenHasAnEnd() throws Exception {
         Held held = new Held(1, "no\r\nheader", "order", "t", Optional.empty(), 7, 0, new byte[1]);
