Let a client that sends much at once have one turn at a time

Up to sixteen buffers of one connection were decoded in one reading, and all requests in them queued, before anything else had its turn: that kept an answer unread by which a told wait was broken.

At fault: Requests, which decoded all that had come. It now decodes up to a whole request and goes on once that is answered and all else has had its turn; a client more than 64 KiB ahead is not read. In the test three hundred requests of one client went ahead of another's before (seen), one to three do now.

--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -1,6 +1,7 @@
 package kestreldeal.net;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -36,7 +37,9 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.Deque;
 import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -237,18 +240,62 @@
         ASKING
     }
 
-    /** Netty's decoder, which tells of first bytes and of what lies behind a whole request. */
+    /**
+     * Netty's decoder, which tells of first bytes and of what lies behind a whole request. That waits for its answer
+     * before it is decoded, and is not read without end: else a client that sends much at once holds up all others.
+     */
     private static final class Requests extends HttpRequestDecoder {
         private final Client client;
+        private final Deque<ByteBuf> waiting = new ArrayDeque<>();
+        private int waitingBytes;
+        /** It can't go on without more bytes than it has taken so far. */
+        private boolean starved = true;
 
         Requests(Client client) {
             this.client = client;
+            setSingleDecode(true);
         }
 
         @Override
-        public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
+        public void channelRead(ChannelHandlerContext ctx, Object read) throws Exception {
             client.begun();
-            super.channelRead(ctx, bytes);
+            ByteBuf bytes = (ByteBuf) read;
+            waiting.add(bytes);
+            waitingBytes += bytes.readableBytes();
+            proceed(ctx);
+        }
+
+        /** Decodes up to the next whole request, once the one before is answered. */
+        private void proceed(ChannelHandlerContext ctx) throws Exception {
+            while (client.takesNext() && !(starved && waiting.isEmpty())) {
+                ByteBuf next = starved ? waiting.remove() : Unpooled.EMPTY_BUFFER;
+                waitingBytes -= next.readableBytes();
+                int before = actualReadableBytes() + next.readableBytes();
+                super.channelRead(ctx, next);
+                starved = actualReadableBytes() == 0 || actualReadableBytes() == before;
+            }
+            client.readOn();
+        }
+
+        /** Goes on behind an answer, but lets all else that has come have its turn first. */
+        void answered() {
+            ChannelHandlerContext ctx = client.channel.pipeline().context(this);
+            if (ctx == null || !holdsMore()) {
+                return;
+            }
+            ctx.channel().eventLoop().schedule(() -> {
+                try {
+                    proceed(ctx);
+                } catch (Exception e) {
+                    ctx.fireExceptionCaught(e);
+                }
+            }, 0, TimeUnit.NANOSECONDS);
+        }
+
+        @Override
+        protected void handlerRemoved0(ChannelHandlerContext ctx) {
+            waiting.forEach(ByteBuf::release);
+            waiting.clear();
         }
 
         /** Left as it is: {@link Framing} turns such a request away. */
@@ -257,7 +304,7 @@
         }
 
         boolean holdsMore() {
-            return actualReadableBytes() > 0;
+            return actualReadableBytes() > 0 || !waiting.isEmpty();
         }
     }
 
@@ -306,6 +353,8 @@
         private long since = System.nanoTime();
         /** A first byte has come of the request that is awaited. */
         private boolean begun;
+        /** Whole requests that were read and wait for {@link #take}. */
+        private int unanswered;
 
         Client(Channel channel) {
             this.channel = channel;
@@ -380,16 +429,29 @@
             begun = requests.holdsMore();
             // Not to make room for others before it is answered.
             enter(State.ASKING);
+            unanswered++;
             request.retain();
             loop.execute(() -> {
+                unanswered--;
                 try {
                     take(request);
                 } finally {
                     request.release();
+                    requests.answered();
                 }
             });
         }
 
+        private boolean takesNext() {
+            return unanswered == 0 && state != State.ENDING;
+        }
+
+        /** A client that does not read its answers is not read either, nor one that is far ahead of them. */
+        private void readOn() {
+            channel.config().setAutoRead(channel.isWritable() && state != State.ENDING
+                    && requests.waitingBytes <= LONGEST_BODY);
+        }
+
         /**
          * Answers a request once its connection was read to the end, unless its client has left meanwhile: that
          * one has given up waiting and hands its message in again, under another id. Guards against a jam that
@@ -472,10 +534,9 @@
             return channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
         }
 
-        /** A client that does not read its answers is not read either. */
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            channel.config().setAutoRead(channel.isWritable() && state != State.ENDING);
+            readOn();
         }
 
         @Override
--- a/src/test/java/kestreldeal/net/IntakeTest.java
+++ b/src/test/java/kestreldeal/net/IntakeTest.java
@@ -69,6 +69,8 @@
     /** A desk that knows all, has room for nothing, and notes what it was asked to take. */
     private static final class NotingDesk implements Intake.Desk {
         private final List<String> asked = new CopyOnWriteArrayList<>();
+        /** Run as it is asked to take a message. */
+        private volatile Runnable taking = () -> { };
 
         @Override
         public boolean ready() {
@@ -102,6 +104,7 @@
 
         @Override
         public Optional<Held> take(Intake.Submission submission) {
+            taking.run();
             asked.add(submission.id());
             return Optional.empty();
         }
@@ -189,4 +192,59 @@
             }
         }
     }
+
+    /** Found on join+brink: what one client sent at once was decoded in one go, and held up all else for 0.4 s. */
+    @Test
+    void aClientThatSendsMuchAtOnceHasOneTurnAtATime() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (Socket flood = new Socket(); Socket other = new Socket()) {
+            EventLoop loop = group.next();
+            NotingDesk desk = new NotingDesk();
+            Intake intake = new Intake(loop, MOST, desk);
+            InetSocketAddress address = listen(intake);
+            flood.connect(address);
+            other.connect(address);
+            assertEquals("HTTP/1.1 200 OK", ask(other, HEALTH).line());
+            CountDownLatch written = new CountDownLatch(1);
+            keepBusy(loop, written);
+            for (int i = 0; i < 300; i++) {
+                submit(flood, "flood-" + i);
+            }
+            CountDownLatch begun = new CountDownLatch(1);
+            CountDownLatch asked = new CountDownLatch(1);
+            desk.taking = () -> {
+                begun.countDown();
+                awaitUnchecked(asked);
+            };
+            written.countDown();
+            begun.await();
+            submit(other, "other");
+            asked.countDown();
+            Stub.read(new BufferedInputStream(other.getInputStream()), 0);
+            int ahead = desk.asked.indexOf("other");
+            assertTrue(ahead >= 1 && ahead <= 3, "turns before: " + ahead);
+            BufferedInputStream in = new BufferedInputStream(flood.getInputStream());
+            for (int i = 0; i < 300; i++) {
+                assertEquals("HTTP/1.1 503 Service Unavailable", Stub.read(in, 0).line());
+            }
+            assertEquals(301, desk.asked.size());
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        }
+    }
+
+    private static void awaitUnchecked(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    private static Stub.Message ask(Socket socket, String request) throws Exception {
+        Stub.write(socket, request);
+        return Stub.read(new BufferedInputStream(socket.getInputStream()), 0);
+    }
 }
