End clients' connections by a half-close, and read them to their end

Intake closed a connection at once: between requests, behind its last answer, and at the end of the process. Bytes that crossed such a close (a request on a resting connection, the rest of a body) reset it, and a request that had been read whole when the process ended had neither its turn nor an answer.

What was read whole is answered 503. The tests hold the loop at the crossing: without the mend the client's writes fail by a broken pipe, and the request that was read has no answer (seen).

--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -7,13 +7,13 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.CodecException;
@@ -69,8 +69,13 @@
     private static final long IDLE_MS = 2500;
     /** The same while clients are sent away, so that none is left long before the four seconds of that are over. */
     private static final long AWAY_IDLE_MS = 1000;
-    /** From the answer to what is too long until the close: closing at once could reset it unread. */
+    /**
+     * From the end of the sending until the close, unless the client closes first: a close over unread bytes resets
+     * the connection, and the last answer could be lost with it.
+     */
     private static final long LINGER_MS = 500;
+    /** So much is read meanwhile and thrown away: a flood is not read to its end. */
+    private static final int MOST_IGNORED = LONGEST_BODY;
     private static final long SWEEP_MS = 200;
     /** Reads of one connection before the next one's turn. */
     private static final int READS = 16;
@@ -175,8 +180,9 @@
     }
 
     /**
-     * Lets go of all clients: this process ends. What was read is answered by now, and nothing more is read, since it
-     * could be taken and the process gone before its answer is out. A client sends again what was not read.
+     * Lets go of all clients: this process ends. Nothing more is taken, since the process could be gone before the
+     * answer is out: what was read is answered so, and a client hands in again what crosses the end of the sending.
+     * The connections close as their clients do, or a little later.
      */
     void shut() {
         clients.values().stream().flatMap(Set::stream).toList().forEach(Client::letGo);
@@ -230,7 +236,7 @@
 
     /** What a connection is at, in the order in which they make room for others. */
     private enum State {
-        /** The last answer is out; what still comes is not read. */
+        /** The last answer is on its way, or there is none; what still comes is thrown away. */
         ENDING,
         /** Nothing was asked yet, or only in part. */
         SILENT,
@@ -258,8 +264,12 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object read) throws Exception {
-            client.begun();
             ByteBuf bytes = (ByteBuf) read;
+            if (client.state == State.ENDING) {
+                client.ignore(bytes);
+                return;
+            }
+            client.begun();
             waiting.add(bytes);
             waitingBytes += bytes.readableBytes();
             proceed(ctx);
@@ -355,6 +365,8 @@
         private boolean begun;
         /** Whole requests that were read and wait for {@link #take}. */
         private int unanswered;
+        /** Bytes that came once its end had begun. */
+        private int ignored;
 
         Client(Channel channel) {
             this.channel = channel;
@@ -397,27 +409,41 @@
         }
 
         private void outOfTime() {
-            if (begun && state != State.ENDING) {
+            if (state == State.ENDING || state == State.SILENT && !begun) {
+                channel.close();
+            } else if (begun) {
                 last(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time");
             } else {
-                channel.close();
+                hangUp();
             }
         }
 
         private void letGo() {
-            if (begun && state != State.ENDING) {
+            if (state == State.ENDING) {
+                return;
+            }
+            if (begun || unanswered > 0) {
                 last(HttpResponseStatus.SERVICE_UNAVAILABLE, "the sender ends");
+            } else {
+                hangUp();
             }
-            channel.close();
         }
 
-        /** Answers what was not read to its end, and closes a little later. */
+        /** Answers what was not read to its end, or is not taken any more, and ends. */
         private void last(HttpResponseStatus status, String text) {
+            endWith(answer(status, text));
+        }
+
+        /** Ends the sending; the client's end, or a little time, closes the connection. */
+        private void hangUp() {
             enter(State.ENDING);
-            channel.config().setAutoRead(false);
-            FullHttpResponse answer = answer(status, text);
-            answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            channel.writeAndFlush(answer);
+            ((DuplexChannel) channel).shutdownOutput();
+        }
+
+        private void ignore(ByteBuf bytes) {
+            ignored += bytes.readableBytes();
+            bytes.release();
+            readOn();
         }
 
         @Override
@@ -448,8 +474,9 @@
 
         /** A client that does not read its answers is not read either, nor one that is far ahead of them. */
         private void readOn() {
-            channel.config().setAutoRead(channel.isWritable() && state != State.ENDING
-                    && requests.waitingBytes <= LONGEST_BODY);
+            boolean reads = state == State.ENDING ? ignored < MOST_IGNORED
+                    : channel.isWritable() && requests.waitingBytes <= LONGEST_BODY;
+            channel.config().setAutoRead(reads);
         }
 
         /**
@@ -531,7 +558,8 @@
         private ChannelFuture endWith(FullHttpResponse answer) {
             enter(State.ENDING);
             answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            return channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+            readOn();
+            return channel.writeAndFlush(answer).addListener(f -> hangUp());
         }
 
         @Override
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -42,6 +42,8 @@
     /** From SIGTERM: calls out may last till here; SIGKILL may come at 3.7 s. */
     static final long CLOSING_MS = 3300;
     private static final long DRAIN_POLL_MS = 20;
+    /** After that, so long for clients to see that their connections end, and to close them. */
+    private static final long PARTING_MS = 200;
     /** A process that has taken over has to listen, even if the address is not free yet. */
     private static final long LISTEN_AGAIN_MS = 50;
     /** A keyed repeat is written so long before its window ends: it still has to arrive. */
@@ -794,12 +796,20 @@
             Log.line(config.name() + " ends; " + (handedOver ? calls.size() + " attempts are out"
                     : "its journal holds " + open.size() + " messages and " + notices.owed() + " notices"));
             intake.shut();
-            stopped.countDown();
+            part(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PARTING_MS));
             return;
         }
         loop.schedule(() -> awaitIdle(begun), DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void part(long untilNanos) {
+        if (intake.clients() == 0 || System.nanoTime() >= untilNanos) {
+            stopped.countDown();
+        } else {
+            loop.schedule(() -> part(untilNanos), DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Lets go of everything at once, as the end of the process would: the journal first. */
     void kill() {
         loop.submit(() -> {
--- a/src/test/java/kestreldeal/net/IntakeTest.java
+++ b/src/test/java/kestreldeal/net/IntakeTest.java
@@ -69,11 +69,14 @@
     /** A desk that knows all, has room for nothing, and notes what it was asked to take. */
     private static final class NotingDesk implements Intake.Desk {
         private final List<String> asked = new CopyOnWriteArrayList<>();
+        /** Run as it is asked whether it is ready. */
+        private volatile Runnable asking = () -> { };
         /** Run as it is asked to take a message. */
         private volatile Runnable taking = () -> { };
 
         @Override
         public boolean ready() {
+            asking.run();
             return true;
         }
 
@@ -247,4 +250,109 @@
         Stub.write(socket, request);
         return Stub.read(new BufferedInputStream(socket.getInputStream()), 0);
     }
+
+    /** Ends all, and holds the loop once it has looked at its sockets once more. */
+    private static void endAndHold(EventLoop loop, Intake intake, CountDownLatch held, CountDownLatch until) {
+        loop.execute(() -> {
+            intake.shut();
+            loop.schedule(() -> {
+                held.countDown();
+                awaitUnchecked(until);
+            }, 0, TimeUnit.NANOSECONDS);
+        });
+    }
+
+    /** A request may come at the very moment in which its connection ends: the end must not become a reset. */
+    @Test
+    void aRequestThatCrossesTheEndIsNotTakenNorIsItsConnectionReset() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        CountDownLatch until = new CountDownLatch(1);
+        try (Socket resting = new Socket()) {
+            EventLoop loop = group.next();
+            NotingDesk desk = new NotingDesk();
+            Intake intake = new Intake(loop, MOST, desk);
+            resting.connect(listen(intake));
+            assertEquals("HTTP/1.1 200 OK", ask(resting, HEALTH).line());
+            CountDownLatch written = new CountDownLatch(1);
+            CountDownLatch held = new CountDownLatch(1);
+            keepBusy(loop, written);
+            endAndHold(loop, intake, held, until);
+            submit(resting, "crossing");
+            written.countDown();
+            held.await();
+            for (int i = 0; i < 5; i++) {
+                // Where the connection is reset, one of the first two fails.
+                submit(resting, "later-" + i);
+            }
+            assertEquals(-1, resting.getInputStream().read());
+            until.countDown();
+            loop.submit(() -> { }).syncUninterruptibly();
+            assertEquals(List.of(), desk.asked);
+        } finally {
+            until.countDown();
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        }
+    }
+
+    /** Nor may the rest of a request that is answered unread. */
+    @Test
+    void theLastAnswerIsFollowedByAnEndHoweverMuchStillComes() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        CountDownLatch until = new CountDownLatch(1);
+        try (Socket client = new Socket(); Socket other = new Socket()) {
+            EventLoop loop = group.next();
+            NotingDesk desk = new NotingDesk();
+            Intake intake = new Intake(loop, MOST, desk);
+            InetSocketAddress address = listen(intake);
+            client.connect(address);
+            other.connect(address);
+            Stub.write(client, "POST /order HTTP/1.1\r\nContent-Length: 50000\r\n");
+            assertEquals("HTTP/1.1 200 OK", ask(other, HEALTH).line(), "so what came before is read");
+            CountDownLatch held = new CountDownLatch(1);
+            endAndHold(loop, intake, held, until);
+            held.await();
+            for (int i = 0; i < 5; i++) {
+                Stub.write(client, "\r\n" + "x".repeat(1000));
+            }
+            BufferedInputStream in = new BufferedInputStream(client.getInputStream());
+            assertEquals("HTTP/1.1 503 Service Unavailable", Stub.read(in, 0).line());
+            assertEquals(-1, in.read());
+            assertEquals(List.of(), desk.asked);
+        } finally {
+            until.countDown();
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        }
+    }
+
+    /** What was read whole is owed an answer, also if the sender ends between its reading and its turn. */
+    @Test
+    void aRequestThatWasReadAsTheSenderEndsIsAnswered() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (Socket first = new Socket(); Socket second = new Socket()) {
+            EventLoop loop = group.next();
+            NotingDesk desk = new NotingDesk();
+            Intake intake = new Intake(loop, MOST, desk);
+            InetSocketAddress address = listen(intake);
+            for (Socket each : List.of(first, second)) {
+                each.connect(address);
+                assertEquals("HTTP/1.1 200 OK", ask(each, HEALTH).line());
+            }
+            CountDownLatch written = new CountDownLatch(1);
+            keepBusy(loop, written);
+            // Both are read at once; the turn of the first ends all, and that of the other is still to come.
+            desk.asking = intake::shut;
+            Stub.write(first, HEALTH);
+            Stub.write(second, HEALTH);
+            written.countDown();
+            List<String> answers = new ArrayList<>();
+            for (Socket each : List.of(first, second)) {
+                each.setSoTimeout(30_000);
+                Stub.Message answer = Stub.read(new BufferedInputStream(each.getInputStream()), 0);
+                answers.add(answer == null ? "none" : answer.line());
+            }
+            assertTrue(answers.contains("HTTP/1.1 503 Service Unavailable"), answers.toString());
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        }
+    }
 }
