Hold a first attempt that connects late to the window that its copy has opened

A copy goes out at half the aim, and its write may be the first of the message; the attempt before it, still connecting for up to 1.5 s, is then the repeat. The check at the write (Held.isInWindow) looked at earlier numbers only. It now looks at all others that may have run.

--- a/src/main/java/kestreldeal/net/Held.java
+++ b/src/main/java/kestreldeal/net/Held.java
@@ -48,9 +48,13 @@
         }
     }
 
-    /** Whether this attempt, written now, is a repeat inside the window of all that may have run before it. */
+    /**
+     * Whether this attempt, written now, is inside the window of all others that may have run: also of a later one,
+     * which may have overtaken it while it waited for its connection.
+     */
     boolean isInWindow(int attempt, long nowMs, double windowMs) {
-        return attempts.stream().limit(attempt).allMatch(a -> a.neverRan || nowMs <= a.sentAtMs + windowMs);
+        Attempt own = attempts.get(attempt);
+        return attempts.stream().allMatch(a -> a == own || a.neverRan || nowMs <= a.sentAtMs + windowMs);
     }
 
     /** The end that the platform must still hear of. */
--- a/src/test/java/kestreldeal/net/HeldTest.java
+++ b/src/test/java/kestreldeal/net/HeldTest.java
@@ -32,4 +32,15 @@
         sent(1000);
         assertTrue(held.isInWindow(0, 60_000, 5000));
     }
+
+    /** A first attempt whose connection comes up late may be overtaken by its copy. */
+    @Test
+    void anAttemptThatWasOvertakenIsARepeatItself() {
+        sent(1000);
+        Held.Attempt copy = sent(2000);
+        assertTrue(held.isInWindow(0, 7000, 5000));
+        assertFalse(held.isInWindow(0, 7001, 5000));
+        copy.neverRan = true;
+        assertTrue(held.isInWindow(0, 7001, 5000));
+    }
 }
