Write nothing for a message that is over, where calls can't be called off

Where the settings allow no calling off, the attempt of a message that its copy has delivered keeps connecting, and was written once its connection came up (seen with the test: the endpoint got 'late'). The check at the write now asks for that too, beside waits, drains and windows.

--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -434,11 +434,12 @@
         /**
          * The module keeps told waits, drains and the windows of keyed messages by the time at which it decides.
          * Where the CPU is scarce, as after a start, or a connect takes long, that may have changed at the write.
-         * After a handover what is not written is the other process's to send.
+         * After a handover what is not written is the other process's to send. Where calls can't be called off, that
+         * of a message that is over comes here too.
          */
         @Override
         public boolean mayStillGo(Endpoints.Call call) {
-            if (handedOver || !relay.mayStillGo(now(), call.endpoint())) {
+            if (handedOver || call.held.over || !relay.mayStillGo(now(), call.endpoint())) {
                 return false;
             }
             Relay.MessageClass type = config.settings().classes()
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -46,6 +46,8 @@
     private boolean known = true;
     private int batch = 1;
     private int dialMs = 1000;
+    private boolean copies;
+    private boolean cancels = true;
     private int senders = 1;
     /** Further endpoints on the list, each of a destination of its own; all are one machine. */
     private int others;
@@ -135,11 +137,11 @@
                  "limits":{"memory_mb":192,"sockets":256,"disk_mb":3},"known":%s,
                  "settings":{"classes":[%s],"tenants":[{"name":"acme"}],"flavors":["m"],"zones":["a"],
                   "family_info":{"workers":10,"batch_by_kind":[%d],"separate_routes":[false]},
-                  "fleet_size":%d,"limits":{"most_tries":12,"second_copies":false,"cancel":true,"max_open":%d,
+                  "fleet_size":%d,"limits":{"most_tries":12,"second_copies":%b,"cancel":%b,"max_open":%d,
                    "dial_timeout_ms":%d,"keepalive_ms":15000},
                   "rules":{"start_capacity":0.2,"warm_after_ms":12000,"fall_multiple":2,"fall_ms":1500}}}
                 """.formatted(listen, agent.hostPort(), known ? list() : "null", classes, batch,
-                        senders, MAX_OPEN, dialMs));
+                        senders, copies, cancels, MAX_OPEN, dialMs));
         return Config.read(environment());
     }
 
@@ -690,6 +692,24 @@
         assertEquals(1, calls().stream().filter(c -> c.atNanos() - told >= 1_900_000_000L).count());
     }
 
+    /** Where calls can't be called off, the first attempt's is still connecting when the copy has delivered. */
+    @Test
+    void nothingIsWrittenLateForAMessageThatIsOver() throws Exception {
+        copies = true;
+        cancels = false;
+        Stub.Script taken = Stub.status(200, "");
+        startWithALateConnect(taken, taken);
+        awaitNothingHeld();
+        assertEquals(2, endpoints.get(1).requests.size());
+        int others = 2;
+        endpoints.get(0).accepts();
+        Stub.await("the late connection", () -> endpoints.get(0).connections() > others);
+        handIn("three", "order");
+        awaitNothingHeld();
+        assertEquals(List.of(), endpoints.get(0).requests.stream().map(c -> c.header("X-Call-Id"))
+                .filter(id -> !id.equals("three")).toList());
+    }
+
     @Test
     void nothingIsWrittenLateToAnEndpointThatDrains() throws Exception {
         Stub.Script taken = Stub.status(200, "");
--- a/src/test/java/kestreldeal/net/Stub.java
+++ b/src/test/java/kestreldeal/net/Stub.java
@@ -37,7 +37,7 @@
     private final ServerSocket server;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile Script script;
-    private int connections;
+    private final AtomicInteger connections = new AtomicInteger();
     private final AtomicInteger ended = new AtomicInteger();
 
     Stub(Script script) throws IOException {
@@ -77,6 +77,11 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
+    /** Connections that it has taken. */
+    int connections() {
+        return connections.get();
+    }
+
     /** Connections that the other side has ended. */
     int ended() {
         return ended.get();
@@ -93,7 +98,7 @@
             while (true) {
                 Socket socket = server.accept();
                 sockets.add(socket);
-                int number = connections++;
+                int number = connections.getAndIncrement();
                 daemon(() -> serve(socket, number));
             }
         } catch (IOException closed) {
