Write nothing to the address that an endpoint left while its connect was out

A list may give an endpoint a new address during a connect of up to 1.5 s; idle connections to the old one were closed, but the call that was connecting was written there (seen with the test). It now ends as not sent, like one that drains.

--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -386,6 +386,12 @@
         }
 
         private void write(Connection on) {
+            if (!on.address.equals(peer.address)) {
+                // It moved while the connect was out: whoever listens there now may be another endpoint.
+                endAll(Outcome.NOT_SENT);
+                on.close();
+                return;
+            }
             waiting().stream().filter(c -> !ends.mayStillGo(c)).forEach(c -> c.end(Outcome.NOT_SENT));
             if (waiting().isEmpty()) {
                 on.rest();
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -521,6 +521,36 @@
         }
     }
 
+    @Test
+    void nothingIsWrittenToTheOldAddressOfAnEndpointThatMovedWhileItsConnectWasOut() throws Exception {
+        End end = plain(Outcome.DELIVERED);
+        // Where the loop was slow to dial, it dialled the new address, and shows nothing.
+        while (end.equals(plain(Outcome.DELIVERED))) {
+            try (Stub old = Stub.busy(Stub.status(200, "")); Stub moved = new Stub(Stub.status(200, ""))) {
+                Endpoints patient = new Endpoints(loop, 20_000, 15_000, 4, ends());
+                loop.submit(() -> patient.at(1, old.address(), true, BATCH)).syncUninterruptibly();
+                call(patient, "a");
+                awaitPasses();
+                loop.submit(() -> patient.at(1, moved.address(), true, BATCH)).syncUninterruptibly();
+                old.accepts();
+                end = end();
+                assertEquals(List.of(), old.requests);
+            }
+        }
+        assertEquals(plain(Outcome.NOT_SENT), end);
+    }
+
+    private void call(Endpoints to, String id) {
+        loop.submit(() -> to.call(message(id), 0, 1, LONG_MS, System.nanoTime())).syncUninterruptibly();
+    }
+
+    /** Waits until the loop has read its sockets, and run what was due, a few times. */
+    private void awaitPasses() throws Exception {
+        for (int i = 0; i < 5; i++) {
+            loop.schedule(() -> { }, 0, TimeUnit.NANOSECONDS).sync();
+        }
+    }
+
     /** Found on day-6: connections were lost after idling, unseen, behind others in use. */
     @Test
     void whereKeptConnectionsAreLostTheNextCallGoesOverAFreshOne() throws Exception {
