Count a connection's idle time on when it was taken for a call and not used

Where the check at the write lets nothing go, the connection goes back to the pool, and its idle time began anew; its endpoint's went on, and closes it under a later call, which for an unsafe message is the end. It now begins with the end of a call, or the connect.

--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -380,8 +380,7 @@
                 return;
             }
             Connection fresh = f.channel().pipeline().get(Connection.class);
-            fresh.peer = peer;
-            fresh.address = dialled;
+            fresh.connected(peer, dialled);
             onceRead(() -> write(fresh));
         }
 
@@ -672,7 +671,9 @@
         private boolean givenUp;
         private final StringBuilder body = new StringBuilder();
         private Future<?> answerTimer;
-        /** Since when it has been without a call; 0 if it has had none yet. */
+        /** No call has gone over it yet, nor has it been kept for one. */
+        private boolean fresh = true;
+        /** Since when it has been without a call. */
         private long idleSince;
         /** How long it had idled when its call began; -1 for a fresh one. */
         private long idledMs;
@@ -681,9 +682,17 @@
             this.channel = channel;
         }
 
+        /** Its endpoint counts from here on how long it idles, also if nothing is written on it after all. */
+        private void connected(Peer to, InetSocketAddress dialled) {
+            peer = to;
+            address = dialled;
+            idleSince = System.nanoTime();
+        }
+
         private void begin(Post next) {
             post = next;
-            idledMs = idleSince == 0 ? -1 : idledMs();
+            idledMs = fresh ? -1 : idledMs();
+            fresh = false;
             head = null;
             lineRead = false;
             headRead = false;
@@ -745,6 +754,7 @@
                 answerTimer.cancel(false);
             }
             post = null;
+            idleSince = System.nanoTime();
         }
 
         @Override
@@ -790,7 +800,7 @@
         /** Nothing came behind the answer: the next call may go over this connection. */
         private void rested() {
             if (channel.isActive() && idle < mostIdle && address.equals(peer.address)) {
-                idleSince = System.nanoTime();
+                fresh = false;
                 peer.idle.addLast(this);
                 idle++;
             } else {
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -540,6 +540,28 @@
         assertEquals(plain(Outcome.NOT_SENT), end);
     }
 
+    /** A connection that was taken for a call and not used: its endpoint has counted its idle time on. */
+    @Test
+    void aConnectionThatWasNotUsedAfterAllHasIdledOn() throws Exception {
+        Endpoints hasty = new Endpoints(loop, 1000, 2000, 4, ends());
+        loop.submit(() -> hasty.at(1, stub.address(), true, BATCH)).syncUninterruptibly();
+        call(hasty, "a");
+        assertEquals(plain(Outcome.DELIVERED), end());
+        long used = System.nanoTime();
+        awaitTime(used, 1000);
+        tooLate = "b";
+        call(hasty, "b");
+        assertEquals(plain(Outcome.NOT_SENT), end());
+        awaitTime(used, 1700);
+        call(hasty, "c");
+        assertEquals(plain(Outcome.DELIVERED), end());
+        assertEquals(1, stub.requests.get(1).connection(), "four fifths of the two seconds are over");
+    }
+
+    private static void awaitTime(long sinceNanos, long ms) throws Exception {
+        Stub.await("its time", () -> System.nanoTime() - sinceNanos >= TimeUnit.MILLISECONDS.toNanos(ms));
+    }
+
     private void call(Endpoints to, String id) {
         loop.submit(() -> to.call(message(id), 0, 1, LONG_MS, System.nanoTime())).syncUninterruptibly();
     }
