Start with kinds that have a name only, and name the setting that ends a start

Where neither batches nor separate routes are told, the list of kinds was empty and the start, or a reload, ended in an uncaught IllegalArgumentException; the same for slots, attempts or senders under 1, and by a message that names no setting. 'NaN' passed as a number, text for limits.sockets or disk_mb passed as the default, and a file that is no JSON was told in several lines. Each now ends the start with one line that names the setting. The tests fail without it (seen).

--- a/src/main/java/kestreldeal/Params.java
+++ b/src/main/java/kestreldeal/Params.java
@@ -16,7 +16,7 @@
     /** The module's settings. */
     public Relay.Settings settings() throws BadInput {
         List<Relay.MessageClass> classes = new ArrayList<>();
-        for (int i = 0; i < number("classes.count"); i++) {
+        for (int i = 0; i < atLeastOne("classes.count"); i++) {
             String c = "classes." + i + ".";
             Relay.Effect effect = switch (text(c + "repeat")) {
                 case "safe" -> Relay.Effect.SAFE;
@@ -24,33 +24,39 @@
                 case "unsafe" -> Relay.Effect.UNSAFE;
                 default -> throw new BadInput("unknown value of " + c + "repeat");
             };
-            classes.add(new Relay.MessageClass(number(c + "aim_ms"), number(c + "give_up_ms"),
+            classes.add(new Relay.MessageClass(atLeastOne(c + "aim_ms"), atLeastOne(c + "give_up_ms"),
                     numberOr(c + "worth", 1), numberOr(c + "late_worth", 0), effect,
                     !textOr(c + "dedup_scope", "all").equals("all"), numberOr(c + "window_ms", 0),
                     flag(c + "sequential")));
         }
-        List<Relay.Kind> kinds = new ArrayList<>();
-        List<String> routes = list("family_info.separate_routes");
-        List<String> batches = list("family_info.batch_by_kind");
-        for (int i = 0; i < Math.max(routes.size(), batches.size()); i++) {
-            kinds.add(new Relay.Kind(i < routes.size() && routes.get(i).equals("true"),
-                    i < batches.size() ? (int) parse(batches.get(i)) : 1));
-        }
         List<Double> fees = new ArrayList<>();
         for (String fee : list("family_info.carriage")) {
-            fees.add(parse(fee));
+            fees.add(parse("family_info.carriage", fee));
         }
         Relay.Decay decay = textOr("family_info.decay", "line").equals("halves")
                 ? Relay.Decay.HALVES : Relay.Decay.LINE;
         Relay.ColdStart cold = new Relay.ColdStart(number("rules.start_capacity"),
                 number("rules.warm_after_ms"), number("rules.fall_multiple"), number("rules.fall_ms"));
         boolean ratesListed = !textOr("weight_kind", "none").equals("none");
-        return new Relay.Settings(classes, kinds, ratesListed, decay, fees,
-                (int) number("fleet_size"), (int) number("family_info.workers"),
-                (int) number("limits.most_tries"), flag("limits.second_copies"), flag("limits.cancel"),
+        return new Relay.Settings(classes, kinds(), ratesListed, decay, fees,
+                (int) atLeastOne("fleet_size"), (int) atLeastOne("family_info.workers"),
+                (int) atLeastOne("limits.most_tries"), flag("limits.second_copies"), flag("limits.cancel"),
                 numberOr("rules.order_pause_ms", 0), numberOr("limits.keepalive_ms", 0), cold);
     }
 
+    /** A deployment may name its kinds only: then they share limits and take one message in a call. */
+    private List<Relay.Kind> kinds() throws BadInput {
+        List<String> routes = list("family_info.separate_routes");
+        List<String> batches = list("family_info.batch_by_kind");
+        int count = Math.max(list("flavors").size(), Math.max(routes.size(), batches.size()));
+        List<Relay.Kind> kinds = new ArrayList<>();
+        for (int i = 0; i < Math.max(1, count); i++) {
+            kinds.add(new Relay.Kind(i < routes.size() && routes.get(i).equals("true"),
+                    i < batches.size() ? (int) parse("family_info.batch_by_kind", batches.get(i)) : 1));
+        }
+        return kinds;
+    }
+
     /** The names of the figures that an answer's report holds, in their order on the wire. */
     public List<String> reportFields() {
         return list("reporting.fields");
@@ -72,7 +78,16 @@
 
     /** The number in a setting that must be there. */
     public double number(String name) throws BadInput {
-        return parse(text(name));
+        return parse(name, text(name));
+    }
+
+    /** A count, or a time in milliseconds, that means nothing under 1. */
+    public double atLeastOne(String name) throws BadInput {
+        double value = number(name);
+        if (value < 1) {
+            throw new BadInput("setting " + name + " is under 1: " + text(name));
+        }
+        return value;
     }
 
     /** The number in a setting, or what stands for its absence. */
@@ -91,12 +106,25 @@
         return value.isEmpty() || value.equals("-") ? List.of() : List.of(value.split(","));
     }
 
+    /** A setting's number; none is endless. */
+    private static double parse(String name, String value) throws BadInput {
+        try {
+            double number = parse(value);
+            if (Double.isFinite(number)) {
+                return number;
+            }
+        } catch (BadInput e) {
+            // Told below, like what is no finite number.
+        }
+        throw new BadInput("setting " + name + " is not a number: " + value);
+    }
+
     /** A number in the wire's form. */
     static double parse(String value) throws BadInput {
         try {
             return Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw new BadInput("not a number among the settings: " + value);
+            throw new BadInput("not a number: " + value);
         }
     }
 }
--- a/src/main/java/kestreldeal/net/Config.java
+++ b/src/main/java/kestreldeal/net/Config.java
@@ -1,5 +1,6 @@
 package kestreldeal.net;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
@@ -30,13 +31,14 @@
     private static final double MOST_DISK_MB = 12;
 
     static Config read(Map<String, String> env) throws IOException, BadInput {
-        JsonNode json = JsonMapper.builder().build().readTree(Files.readAllBytes(
-                Path.of(required(env, "GW_CONFIG"))));
+        JsonNode json = json(Path.of(required(env, "GW_CONFIG")));
         Map<String, String> values = new HashMap<>();
         flatten("", json.path("settings"), values);
         Params settings = new Params(values);
-        JsonNode limits = json.path("limits");
-        double diskMb = Math.min(limits.path("disk_mb").asDouble(MOST_DISK_MB), MOST_DISK_MB);
+        Map<String, String> machine = new HashMap<>();
+        flatten("limits", json.path("limits"), machine);
+        Params limits = new Params(machine);
+        double diskMb = Math.min(limits.numberOr("limits.disk_mb", MOST_DISK_MB), MOST_DISK_MB);
         return new Config(
                 env.getOrDefault("GW_NAME", json.path("name").asText("sender")),
                 address(env.getOrDefault("GW_LISTEN", json.path("listen").asText())),
@@ -44,19 +46,29 @@
                 address(json.path("discovery").asText(env.getOrDefault("GW_DISCOVERY", ""))),
                 Path.of(required(env, "GW_STATE")),
                 seed(json.path("seed").asText("0")),
-                limits.path("sockets").asInt(1024),
+                (int) limits.numberOr("limits.sockets", 1024),
                 (long) (diskMb * 1_000_000),
                 settings.settings(),
                 names(settings, "classes"),
                 names(settings, "tenants"),
                 settings.list("flavors"),
                 settings.list("zones"),
-                (int) settings.numberOr("limits.max_open", Integer.MAX_VALUE),
+                values.containsKey("limits.max_open") ? (int) settings.atLeastOne("limits.max_open")
+                        : Integer.MAX_VALUE,
                 settings.numberOr("limits.dial_timeout_ms", 1000),
                 json.path("known").path("instances").isArray()
                         ? Optional.of(json.path("known")) : Optional.empty());
     }
 
+    private static JsonNode json(Path file) throws IOException, BadInput {
+        try {
+            return JsonMapper.builder().build().readTree(Files.readAllBytes(file));
+        } catch (JsonProcessingException e) {
+            // Its own message has several lines.
+            throw new BadInput(file + " is not JSON: " + e.getOriginalMessage());
+        }
+    }
+
     /** An address as {@code 10.0.0.4:7070}; there is no DNS, so a host name is an error. */
     static InetSocketAddress address(String text) throws BadInput {
         int cut = text.lastIndexOf(':');
--- /dev/null
+++ b/src/test/java/kestreldeal/net/ConfigTest.java
@@ -0,0 +1,60 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import kestreldeal.BadInput;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What other deployments may leave out, and how a bad value ends the start. */
+class ConfigTest {
+    private static final String GOOD = """
+            {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+             "limits":{"sockets":256,"disk_mb":3},
+             "settings":{"classes":[{"name":"order","aim_ms":2000,"give_up_ms":24000,"repeat":"safe"}],
+              "flavors":["large","small"],"zones":["a"],
+              "family_info":{"workers":10,"batch_by_kind":[5,1]},
+              "fleet_size":3,"limits":{"most_tries":12,"max_open":30},
+              "rules":{"start_capacity":0.2,"warm_after_ms":12000,"fall_multiple":2,"fall_ms":1500}}}
+            """;
+
+    @TempDir
+    private Path folder;
+
+    private Config read(String json) throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, json);
+        return Config.read(Map.of("GW_CONFIG", file.toString(), "GW_STATE", folder.toString()));
+    }
+
+    @Test
+    void kindsMayHaveANameOnly() throws Exception {
+        assertEquals(List.of(5, 1), read(GOOD).settings().kinds().stream().map(k -> k.batch()).toList());
+        Config named = read(GOOD.replace(",\"batch_by_kind\":[5,1]", ""));
+        assertEquals(List.of(1, 1), named.settings().kinds().stream().map(k -> k.batch()).toList());
+    }
+
+    @Test
+    void aBadValueIsNamedInOneLine() {
+        Map<String, String> bad = Map.of("\"workers\":10", "\"workers\":0", "\"fleet_size\":3", "\"fleet_size\":\"many\"",
+                "\"most_tries\":12", "\"most_tries\":\"NaN\"", "\"max_open\":30", "\"max_open\":-1",
+                "\"aim_ms\":2000", "\"aim_ms\":-5", "\"sockets\":256", "\"sockets\":\"few\"",
+                "\"disk_mb\":3", "\"disk_mb\":[1,2]", "\"batch_by_kind\":[5,1]", "\"batch_by_kind\":[5,\"x\"]");
+        bad.forEach((good, wrong) -> {
+            String name = good.split("\"")[1];
+            BadInput told = assertThrows(BadInput.class, () -> read(GOOD.replace(good, wrong)), wrong);
+            assertEquals(List.of(name), List.of(told.getMessage().replaceAll(".*\\b(" + name + ")\\b.*", "$1")));
+        });
+    }
+
+    @Test
+    void whatIsNoJsonIsSaidSoInOneLine() {
+        BadInput told = assertThrows(BadInput.class, () -> read("{\"name\":"));
+        assertEquals(1, told.getMessage().lines().count());
+    }
+}
