Ask an agent that was silent for what it has now, before a watch is opened

After silence the next question was a watch of 3 s again; opened into an outage it may stay silent when that is over, and is given up 3.5 s later, while what the agent gets at its return counts as told at once and a drain leaves one second. The test fails without it (seen).

--- a/src/main/java/kestreldeal/net/Discovery.java
+++ b/src/main/java/kestreldeal/net/Discovery.java
@@ -26,6 +26,11 @@
 final class Discovery {
     /** A change counts as told 2 s after the end of a call's wait, so the wait is short. */
     private static final long WAIT_MS = 3000;
+    /**
+     * One that was silent is asked for what it has now: a watch that is opened into an outage may stay silent when that
+     * is over, while all that the agent got at its return counts as told.
+     */
+    private static final long NO_WAIT_MS = 0;
     /** An answer that is so late will not come: the connection was cut, or discovery is down. */
     private static final long SILENT_MS = 500;
     /** A watch goes on if its next call comes within 200 ms. */
@@ -105,7 +110,8 @@
         if (generation < 0) {
             ask("/v1/servers", 0);
         } else {
-            ask("/v1/servers?after=" + generation + "&wait_ms=" + WAIT_MS, WAIT_MS);
+            long waitMs = silent ? NO_WAIT_MS : WAIT_MS;
+            ask("/v1/servers?after=" + generation + "&wait_ms=" + waitMs, waitMs);
         }
     }
 
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -100,7 +100,9 @@
         }
         String known = request.line().contains("after=") ? request.line().replaceAll(".*after=(\\d+).*", "$1")
                 : "";
-        Stub.await("something new on the list", () -> !known.equals(generation()));
+        if (!request.line().contains("wait_ms=0 ")) {
+            Stub.await("something new on the list", () -> !known.equals(generation()));
+        }
         String list = list();
         Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
     }
@@ -781,6 +783,25 @@
                 .anyMatch(r -> r.line().contains("after=")));
     }
 
+    /** Found by review: a watch that is opened into an outage waits on when the outage is over. */
+    @Test
+    void anAgentThatWasSilentIsAskedForWhatItHasNow() throws Exception {
+        agent.script((request, socket) -> {
+            if (!request.line().contains("after=")) {
+                agent(request, socket);
+            }
+        });
+        start();
+        Stub.await("it is asked without a wait", () -> asked().contains("&wait_ms=0 "));
+        agent.script(this::agent);
+        Stub.await("the watch goes on", () -> asked().lastIndexOf("&wait_ms=3000 ") > asked().indexOf("&wait_ms=0 "));
+    }
+
+    /** What the agent was asked. */
+    private String asked() {
+        return agent.requests.stream().map(Stub.Message::line).collect(Collectors.joining("\n"));
+    }
+
     @Test
     void nothingIsTakenOrGivenUpBeforeAListIsKnown() throws Exception {
         Held old = earlierLife("order", 1000, 20_000, false);
