Ask the agent before the first life sends too

In the test it took a message before the agent had answered (seen). The tests' start now waits until the sender is ready.

--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -56,7 +56,6 @@
     private final Path next;
     private final long bound;
     private final long messageRoom;
-    private final boolean first;
     private final Map<Long, Held> live = new TreeMap<>();
     /** Ids of messages that were over last, the oldest first, and whether they were delivered. */
     private final Map<String, Boolean> over = new LinkedHashMap<>();
@@ -73,7 +72,6 @@
         this.next = folder.resolve("journal.next");
         this.bound = diskBytes - BLOCKS;
         this.messageRoom = (long) maxAttempts * ATTEMPT_ROOM + END_ROOM;
-        this.first = !Files.exists(file);
         // A compaction that the process did not live to finish still takes up room.
         Files.deleteIfExists(next);
         channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
@@ -83,11 +81,6 @@
         channel.position(size);
     }
 
-    /** Whether no process has had this journal before. */
-    boolean isFirst() {
-        return first;
-    }
-
     /** What was held when the last process ended, in the order taken. */
     Collection<Held> held() {
         return new ArrayList<>(live.values());
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -90,7 +90,7 @@
     /** A list is known and the journal is replayed. */
     private boolean ready;
     private boolean listed;
-    /** The agent was asked for the list: the configuration's may be older than what an earlier life was told. */
+    /** The agent was asked for the list, and has answered, or not in time. */
     private boolean asked;
     private Succession succession;
     /** What the process before told of itself, until the journal is replayed. */
@@ -182,9 +182,12 @@
         });
     }
 
-    /** Takes up what is held, once this process leads and has a list, a later life the agent's if it answers. */
+    /**
+     * Takes up what is held, once this process leads and has a list: the agent's if it answers, as what that has
+     * counts as told from the first moment of a process, and the configuration's may be old.
+     */
     private void begin() {
-        if (ready || journal == null || !listed || !asked && !journal.isFirst()) {
+        if (ready || journal == null || !listed || !asked) {
             return;
         }
         ready = true;
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -22,6 +22,7 @@
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import kestreldeal.Relay;
@@ -156,7 +157,15 @@
         start(Sender.CLOSING_MS);
     }
 
+    /** Until it is ready, where a list can be known and no other process leads. */
     private void start(long closingMs) throws Exception {
+        startOnly(closingMs);
+        if ((known || agentUp) && before == null) {
+            awaitReady();
+        }
+    }
+
+    private void startOnly(long closingMs) throws Exception {
         sender = new Sender(config(), links, Sender.TAKING_MS, closingMs);
         address = sender.start();
     }
@@ -783,6 +792,24 @@
                 .anyMatch(r -> r.line().contains("after=")));
     }
 
+    /** What the agent has counts as told from the first moment; the configuration's list may be old. */
+    @Test
+    void theFirstLifeAsksTheAgentBeforeItSendsByTheConfigurationsList() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        agent.script((request, socket) -> {
+            go.await();
+            agent(request, socket);
+        });
+        startOnly(Sender.CLOSING_MS);
+        assertEquals("503", ask(client(), message("early", "order", "hello")).line().split(" ")[1]);
+        states = "DRAINING DRAINING";
+        go.countDown();
+        awaitReady();
+        handIn("one", "order");
+        assertEquals(2, figure("members_unavailable"));
+        assertEquals(List.of(), calls());
+    }
+
     /** Found by review: a watch that is opened into an outage waits on when the outage is over. */
     @Test
     void anAgentThatWasSilentIsAskedForWhatItHasNow() throws Exception {
