Tell how a connect went on the loop's thread, also with no descriptor left

Where no channel can be made Netty tells the failed connect on a thread of its own: the end of a call, or the agent's answer and with it the list and the notices, then ran beside the loop, in parts that are not made for two threads.

--- a/src/main/java/kestreldeal/net/Agent.java
+++ b/src/main/java/kestreldeal/net/Agent.java
@@ -1,14 +1,9 @@
 package kestreldeal.net;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -31,7 +26,7 @@
 
     private final EventLoop loop;
     private final InetSocketAddress address;
-    private final Bootstrap bootstrap;
+    private final Connector connector;
     private Channel channel;
     private Request current;
 
@@ -56,16 +51,8 @@
     Agent(EventLoop loop, InetSocketAddress address) {
         this.loop = loop;
         this.address = address;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel fresh) {
-                        fresh.pipeline().addLast(new HttpClientCodec(),
-                                new HttpObjectAggregator(LONGEST_ANSWER), new Answers());
-                    }
-                });
+        this.connector = new Connector(loop, CONNECT_MS, fresh -> fresh.pipeline().addLast(new HttpClientCodec(),
+                new HttpObjectAggregator(LONGEST_ANSWER), new Answers()));
     }
 
     /** Sends a request; exactly one answer follows, empty if none came within the limit. */
@@ -79,13 +66,13 @@
             channel.writeAndFlush(request);
             return;
         }
-        bootstrap.connect(address).addListener((ChannelFuture f) -> {
-            if (current != mine || !f.isSuccess()) {
+        connector.connect(address, fresh -> {
+            if (current != mine || fresh.isEmpty()) {
                 request.release();
-                f.channel().close();
+                fresh.ifPresent(Channel::close);
                 mine.end(Optional.empty());
             } else {
-                channel = f.channel();
+                channel = fresh.get();
                 channel.writeAndFlush(request);
             }
         });
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -1,18 +1,13 @@
 package kestreldeal.net;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -36,6 +31,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -91,7 +87,7 @@
 
     private final EventLoop loop;
     private final Ends ends;
-    private final Bootstrap bootstrap;
+    private final Connector connector;
     private final long idleNanos;
     private final int mostIdle;
     private final Map<Long, Peer> peers = new HashMap<>();
@@ -104,17 +100,11 @@
         this.ends = ends;
         this.idleNanos = (long) (keepAliveMs * IDLE_SHARE * 1e6);
         this.mostIdle = mostIdle;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(dialMs))
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        Connection connection = new Connection(channel);
-                        channel.pipeline().addLast(new HeadLines(connection), connection.answers,
-                                new HttpRequestEncoder(), connection);
-                    }
-                });
+        this.connector = new Connector(loop, dialMs, channel -> {
+            Connection connection = new Connection(channel);
+            channel.pipeline().addLast(new HeadLines(connection), connection.answers, new HttpRequestEncoder(),
+                    connection);
+        });
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -370,16 +360,16 @@
                 write(kept);
             } else {
                 InetSocketAddress dialled = peer.address;
-                bootstrap.connect(dialled).addListener((ChannelFuture f) -> connected(f, dialled));
+                connector.connect(dialled, channel -> connected(channel, dialled));
             }
         }
 
-        private void connected(ChannelFuture f, InetSocketAddress dialled) {
-            if (!f.isSuccess()) {
+        private void connected(Optional<Channel> channel, InetSocketAddress dialled) {
+            if (channel.isEmpty()) {
                 endAll(Outcome.UNREACHABLE);
                 return;
             }
-            Connection fresh = f.channel().pipeline().get(Connection.class);
+            Connection fresh = channel.get().pipeline().get(Connection.class);
             fresh.connected(peer, dialled);
             onceRead(() -> write(fresh));
         }
