--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -632,7 +632,7 @@
             double late = Math.max(0, time - aimAt);
             double share = settings.decay() == Decay.HALVES
                     ? Math.max(type.lateWorth(), Math.pow(0.5, late / type.aimMs()))
-                    : 1 - (1 - type.lateWorth()) * late / (type.deadlineMs() - type.aimMs());
+                    : 1 - (1 - type.lateWorth()) * late / Math.max(1, type.deadlineMs() - type.aimMs());
             return type.worth() * share;
         }
 
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -17,13 +17,28 @@
 
 /**
  * The module's behaviour, through its interface. Class 0 is safe, 1 keyed, 2 unsafe and in order, 3 keyed by
- * zone.
+ * zone, 4 safe, with an aim that is its deadline.
  */
 class LogicTest {
     private static final int SAFE = 0;
     private static final int KEYED = 1;
     private static final int UNSAFE = 2;
     private static final int BY_ZONE = 3;
+    private static final int WITHOUT_LATENESS = 4;
+
+    // ---- the queue ----
+
+    @Test
+    void aClassWhoseAimIsItsDeadlineHasARank() {
+        Bench b = new Bench(1).list(1, 10);
+        b.take(1, SAFE, 1);
+        b.take(2, SAFE, 1);
+        b.take(3, WITHOUT_LATENESS, 1);
+        b.until(100);
+        b.end(1, 0, Outcome.DELIVERED);
+        b.until(200);
+        assertEquals(List.of(1L, 3L), b.sends.stream().map(s -> s.message()).toList(), "the one of more worth goes");
+    }
 
     // ---- the wave ----
 
@@ -1232,5 +1247,6 @@
             new Relay.MessageClass(2000, 16_000, 1, 0.5, Effect.SAFE, false, 0, false),
             new Relay.MessageClass(2000, 16_000, 1, 0.5, Effect.KEYED, false, 4000, false),
             new Relay.MessageClass(2000, 16_000, 4, 0.3, Effect.UNSAFE, false, 0, true),
-            new Relay.MessageClass(2000, 16_000, 1, 0.5, Effect.KEYED, true, 15_000, false));
+            new Relay.MessageClass(2000, 16_000, 1, 0.5, Effect.KEYED, true, 15_000, false),
+            new Relay.MessageClass(16_000, 16_000, 8, 0, Effect.SAFE, false, 0, false));
 }
