--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -191,6 +191,25 @@
         assertEquals(1, stub.requests.get(stub.requests.size() - 1).connection(), "a late answer must not meet the next call");
     }
 
+    /** It may have run, whatever the line would have said, and what comes behind the time-out is nobody's. */
+    @Test
+    void halfALineIsNoAnswer() throws Exception {
+        CountDownLatch timedOut = new CountDownLatch(1);
+        stub.script((request, socket) -> {
+            Stub.write(socket, "HTTP/1.1 2");
+            timedOut.await();
+            Stub.write(socket, "00 OK\r\nContent-Length: 0\r\n\r\n");
+        });
+        start(new byte[1], 200);
+        assertEquals(plain(Outcome.TIMED_OUT), end());
+        timedOut.countDown();
+        expect(Outcome.BROKEN, (request, socket) -> {
+            Stub.write(socket, "HTTP/1.1 20");
+            socket.close();
+        });
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+    }
+
     @Test
     void aCancelledCallEndsOnceAndClosesTheConnection() throws Exception {
         stub.script(Stub.silent());
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -865,6 +865,18 @@
 
     // ---- restarts ----
 
+    /** As many messages as a journal holds in service, a thousand servers on the list, and no word from the agent. */
+    @Test
+    void aFullBacklogIsTriedInTheNextLife() throws Exception {
+        others = 1022;
+        agentUp = false;
+        earlierBacklog(800, Map.of());
+        start();
+        awaitNothingHeld();
+        assertEquals(800, calls().stream().map(c -> c.header("X-Call-Id")).distinct().count());
+        assertEquals(List.of(), notices);
+    }
+
     /** Lateness alone is no outage: it may come of our own slots, pace or CPU. */
     @Test
     void aLateBacklogGoesOutAtOnceInTheNextLife() throws Exception {
