--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -177,11 +177,11 @@
      * when the loop finds the time to read it. A timer runs only after the sockets have been read; if that took
      * long, more has come.
      */
-    private void onceRead(Runnable then) {
+    private void afterRead(Runnable then) {
         long asked = System.nanoTime();
         loop.schedule(() -> {
             if (System.nanoTime() - asked > TimeUnit.MILLISECONDS.toNanos(READ_MS)) {
-                onceRead(then);
+                afterRead(then);
             } else {
                 then.run();
             }
@@ -217,7 +217,7 @@
                     if (next == post) {
                         next = null;
                     }
-                    onceRead(post::start);
+                    afterRead(post::start);
                 });
             }
             return next;
@@ -371,7 +371,7 @@
             }
             Connection fresh = channel.get().pipeline().get(Connection.class);
             fresh.connected(peer, dialled);
-            onceRead(() -> write(fresh));
+            afterRead(() -> write(fresh));
         }
 
         private void write(Connection on) {
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -75,7 +75,7 @@
      */
     private static final long LINGER_MS = 500;
     /** So much is read meanwhile and thrown away: a flood is not read to its end. */
-    private static final int MOST_IGNORED = LONGEST_BODY;
+    private static final int MOST_DISCARDED = LONGEST_BODY;
     private static final long SWEEP_MS = 200;
     /** Reads of one connection before the next one's turn. */
     private static final int READS = 16;
@@ -252,8 +252,8 @@
      */
     private static final class Requests extends HttpRequestDecoder {
         private final Client client;
-        private final Deque<ByteBuf> waiting = new ArrayDeque<>();
-        private int waitingBytes;
+        private final Deque<ByteBuf> backlog = new ArrayDeque<>();
+        private int backlogBytes;
         /** It can't go on without more bytes than it has taken so far. */
         private boolean starved = true;
 
@@ -266,25 +266,25 @@
         public void channelRead(ChannelHandlerContext ctx, Object read) throws Exception {
             ByteBuf bytes = (ByteBuf) read;
             if (client.state == State.ENDING) {
-                client.ignore(bytes);
+                client.discard(bytes);
                 return;
             }
             client.begun();
-            waiting.add(bytes);
-            waitingBytes += bytes.readableBytes();
-            proceed(ctx);
+            backlog.add(bytes);
+            backlogBytes += bytes.readableBytes();
+            decodeNext(ctx);
         }
 
         /** Decodes up to the next whole request, once the one before is answered. */
-        private void proceed(ChannelHandlerContext ctx) throws Exception {
-            while (client.takesNext() && !(starved && waiting.isEmpty())) {
-                ByteBuf next = starved ? waiting.remove() : Unpooled.EMPTY_BUFFER;
-                waitingBytes -= next.readableBytes();
+        private void decodeNext(ChannelHandlerContext ctx) throws Exception {
+            while (client.takesNext() && !(starved && backlog.isEmpty())) {
+                ByteBuf next = starved ? backlog.remove() : Unpooled.EMPTY_BUFFER;
+                backlogBytes -= next.readableBytes();
                 int before = actualReadableBytes() + next.readableBytes();
                 super.channelRead(ctx, next);
                 starved = actualReadableBytes() == 0 || actualReadableBytes() == before;
             }
-            client.readOn();
+            client.updateAutoRead();
         }
 
         /** Goes on behind an answer, but lets all else that has come have its turn first. */
@@ -295,7 +295,7 @@
             }
             ctx.channel().eventLoop().schedule(() -> {
                 try {
-                    proceed(ctx);
+                    decodeNext(ctx);
                 } catch (Exception e) {
                     ctx.fireExceptionCaught(e);
                 }
@@ -304,8 +304,8 @@
 
         @Override
         protected void handlerRemoved0(ChannelHandlerContext ctx) {
-            waiting.forEach(ByteBuf::release);
-            waiting.clear();
+            backlog.forEach(ByteBuf::release);
+            backlog.clear();
         }
 
         /** Left as it is: {@link Framing} turns such a request away. */
@@ -314,7 +314,7 @@
         }
 
         boolean holdsMore() {
-            return actualReadableBytes() > 0 || !waiting.isEmpty();
+            return actualReadableBytes() > 0 || !backlog.isEmpty();
         }
     }
 
@@ -366,7 +366,7 @@
         /** Whole requests that were read and wait for {@link #take}. */
         private int unanswered;
         /** Bytes that came once its end had begun. */
-        private int ignored;
+        private int discarded;
 
         Client(Channel channel) {
             this.channel = channel;
@@ -414,7 +414,7 @@
             } else if (begun) {
                 last(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time");
             } else {
-                hangUp();
+                halfClose();
             }
         }
 
@@ -425,7 +425,7 @@
             if (begun || unanswered > 0) {
                 last(HttpResponseStatus.SERVICE_UNAVAILABLE, "the sender ends");
             } else {
-                hangUp();
+                halfClose();
             }
         }
 
@@ -435,15 +435,15 @@
         }
 
         /** Ends the sending; the client's end, or a little time, closes the connection. */
-        private void hangUp() {
+        private void halfClose() {
             enter(State.ENDING);
             ((DuplexChannel) channel).shutdownOutput();
         }
 
-        private void ignore(ByteBuf bytes) {
-            ignored += bytes.readableBytes();
+        private void discard(ByteBuf bytes) {
+            discarded += bytes.readableBytes();
             bytes.release();
-            readOn();
+            updateAutoRead();
         }
 
         @Override
@@ -473,9 +473,9 @@
         }
 
         /** A client that does not read its answers is not read either, nor one that is far ahead of them. */
-        private void readOn() {
-            boolean reads = state == State.ENDING ? ignored < MOST_IGNORED
-                    : channel.isWritable() && requests.waitingBytes <= LONGEST_BODY;
+        private void updateAutoRead() {
+            boolean reads = state == State.ENDING ? discarded < MOST_DISCARDED
+                    : channel.isWritable() && requests.backlogBytes <= LONGEST_BODY;
             channel.config().setAutoRead(reads);
         }
 
@@ -558,13 +558,13 @@
         private ChannelFuture endWith(FullHttpResponse answer) {
             enter(State.ENDING);
             answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            readOn();
-            return channel.writeAndFlush(answer).addListener(f -> hangUp());
+            updateAutoRead();
+            return channel.writeAndFlush(answer).addListener(f -> halfClose());
         }
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            readOn();
+            updateAutoRead();
         }
 
         @Override
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -126,7 +126,7 @@
     /** The message has ended by a notice that is still to be heard. */
     void owed(Held held, Held.Notice notice) throws IOException {
         held.owed = Optional.of(notice);
-        isOver(held.id, false);
+        markEnded(held.id, false);
         append(held, record(owedRecord(held, notice)));
     }
 
@@ -134,7 +134,7 @@
     void ended(Held held) throws IOException {
         if (live.remove(held.number) != null) {
             liveBytes -= held.bytes;
-            wasEnded(held);
+            markIfTried(held);
             write(record(out -> {
                 out.writeByte(ENDED);
                 out.writeLong(held.number);
@@ -153,7 +153,7 @@
     }
 
     /** A message of this id is over: it must not be taken on again, neither in this life nor in a later one. */
-    void isOver(String id, boolean delivered) {
+    void markEnded(String id, boolean delivered) {
         if (over.put(id, delivered) == null) {
             overBytes += overSize(id);
             liveBytes += overSize(id);
@@ -167,9 +167,9 @@
     }
 
     /** One that nothing was ever done for was not taken on, as far as its client knows. */
-    private void wasEnded(Held held) {
+    private void markIfTried(Held held) {
         if (held.owed.isPresent() || !held.attempts.isEmpty()) {
-            isOver(held.id, held.owed.isEmpty());
+            markEnded(held.id, held.owed.isEmpty());
         }
     }
 
@@ -420,7 +420,7 @@
             return;
         }
         if (type == OVER) {
-            isOver(in.readUTF(), in.readBoolean());
+            markEnded(in.readUTF(), in.readBoolean());
             return;
         }
         numbers = Math.max(numbers, number + 1);
@@ -450,12 +450,12 @@
             case OWED -> {
                 held.owed = Optional.of(new Held.Notice(in.readBoolean(), in.readDouble()));
                 held.over = true;
-                isOver(held.id, false);
+                markEnded(held.id, false);
             }
             case ENDED -> {
                 live.remove(number);
                 liveBytes -= held.bytes;
-                wasEnded(held);
+                markIfTried(held);
                 return;
             }
             default -> throw new IOException("unknown record " + type);
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -266,7 +266,7 @@
     }
 
     private void recall(Succession.Legacy told) {
-        told.ended().forEach(journal::isOver);
+        told.ended().forEach(journal::markEnded);
         List<Relay.Known> known = new ArrayList<>();
         for (Relay.Known k : told.memory().endpoints()) {
             known.add(k.at(endpointNumber(told.endpoints().get(known.size()))));
@@ -804,17 +804,17 @@
             Log.line(config.name() + " ends; " + (handedOver ? calls.size() + " attempts are out"
                     : "its journal holds " + open.size() + " messages and " + notices.owed() + " notices"));
             intake.shut();
-            part(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PARTING_MS));
+            awaitClientsGone(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PARTING_MS));
             return;
         }
         loop.schedule(() -> awaitIdle(begun), DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void part(long untilNanos) {
+    private void awaitClientsGone(long untilNanos) {
         if (intake.clients() == 0 || System.nanoTime() >= untilNanos) {
             stopped.countDown();
         } else {
-            loop.schedule(() -> part(untilNanos), DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> awaitClientsGone(untilNanos), DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/test/java/kestreldeal/net/IntakeTest.java
+++ b/src/test/java/kestreldeal/net/IntakeTest.java
@@ -158,14 +158,14 @@
                 .syncUninterruptibly().channel().localAddress();
     }
 
-    private static void keepBusy(EventLoop loop, CountDownLatch until) {
+    /** Holds the loop; it is held when this returns. */
+    private static void keepBusy(EventLoop loop, CountDownLatch until) throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
         loop.execute(() -> {
-            try {
-                until.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+            held.countDown();
+            awaitUnchecked(until);
         });
+        held.await();
     }
 
     /** Found in incident r0b62c9: hundreds that connected in one turn all made room by the same one. */
--- a/src/test/java/kestreldeal/net/JournalTest.java
+++ b/src/test/java/kestreldeal/net/JournalTest.java
@@ -260,7 +260,7 @@
     void idsThatAreOverTakeLittleRoom() throws Exception {
         try (Journal journal = open()) {
             for (int i = 0; i < 6000; i++) {
-                journal.isOver("9b1f03aa5c7e2d41-" + i, true);
+                journal.markEnded("9b1f03aa5c7e2d41-" + i, true);
             }
             assertEquals(Optional.of(true), journal.deliveredBefore("9b1f03aa5c7e2d41-5999"));
             assertEquals(Optional.empty(), journal.deliveredBefore("9b1f03aa5c7e2d41-0"));
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -824,6 +824,27 @@
         Stub.await("the watch goes on", () -> asked().lastIndexOf("&wait_ms=3000 ") > asked().indexOf("&wait_ms=0 "));
     }
 
+    @Test
+    void aChangeThatBreaksOffIsAskedForAgain() throws Exception {
+        String before = generation();
+        agent.script((request, socket) -> {
+            if (request.line().contains("after=")) {
+                states = "DRAINING SERVING";
+                agent.script(this::agent);
+                String list = list();
+                Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n"
+                        + list.substring(0, list.length() - 2));
+                socket.close();
+            } else {
+                agent(request, socket);
+            }
+        });
+        start();
+        Stub.await("the change is known", () -> unchecked(() -> figure("members_unavailable") == 1));
+        List<String> watches = asked().lines().filter(line -> line.contains("after=" + before + "&")).toList();
+        assertEquals(2, watches.size(), watches.toString());
+    }
+
     /** Word that an endpoint drains or is gone binds, be the rest of its entry spoilt. */
     @Test
     void anEntryWithoutAnAddressGetsNothingNew() throws Exception {
