--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -1,34 +1,37 @@
 package kestreldeal;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.DoubleStream;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import kestreldeal.Lanes.Group;
+import kestreldeal.Timers.Timer;
 
 /**
  * The decision module. Its interface, with all types, events and actions, is Relay.java.
  *
- * <p>A message waits in the queue until {@link #endTurn}, which ranks what waits and gives each message the
- * best endpoint that {@link #maySend} lets pass; the send starts a wave. At a fixed offset a copy joins if
- * the {@link Throttle} allows. The first delivery wins and the rest are cancelled; when every attempt of
- * the wave has ended retryable the message waits again, for a new wave. {@link #finish} gives every final
- * answer.
+ * <p>A message waits in a group of its like until {@link #endTurn}, which takes the groups with an open gate
+ * by the rank of their first messages and gives each message the best endpoint that {@link #maySend} lets
+ * pass; what is closed is not looked at. The send starts a wave. At a fixed offset a copy joins if the {@link
+ * Throttle} allows. The first delivery wins and the rest are cancelled; when every attempt of the wave has
+ * ended retryable the message waits again, for a new wave. {@link #finish} gives every final answer.
  *
  * <p>Parts: {@link Delivery} is a message and its wave; {@link Call} what travels together; {@link Limit} the
  * pace and told wait of a destination, or of a route where routes are separate; {@link Target} an endpoint
  * with its health and its ramp after an outage; {@link Throttle} bounds copies and new tries; {@link
- * Connections} is the trust in idle connections, {@link KeyOrder} the keys in order, {@link Timers} what is
- * due later. All times are milliseconds, all rates calls a millisecond.
+ * Connections} is the trust in idle connections. All times are milliseconds, all rates calls a millisecond.
  */
 final class Logic implements Relay {
     // The wave.
@@ -117,11 +120,8 @@
     private static final double TRIAL_MOST = 4;
     /** Share of the rule's budget that the ramp of a returning endpoint uses; the rest is for chance. */
     private static final double RAMP_SAFETY = 0.7;
-    /** Time over which an endpoint's carried rate is averaged, and the shortest that counts. */
-    private static final double CARRIED_MS = 10_000;
     /** Share of the messages taken for a destination that it is trusted to carry, if it was not seen to. */
     private static final double DEMAND_SHARE = 0.7;
-    private static final double CARRIED_LEAST_MS = 2000;
 
     /** An endpoint that has left the list is forgotten after so long. */
     private static final double GONE_MS = 30_000;
@@ -140,31 +140,53 @@
     private static final double RANK_WORTH = 0.01;
     /** Time worth a fee of one point: about what a message loses in worth when it waits so long. */
     private static final double FEE_MS = 25_000;
+    private static final Comparator<Delivery> OLDEST_FIRST =
+            Comparator.comparingDouble((Delivery d) -> d.aimAt).thenComparingLong(d -> d.queued);
+    private static final Comparator<Delivery> NEWEST_FIRST =
+            Comparator.comparingDouble((Delivery d) -> -d.aimAt).thenComparingLong(d -> d.queued);
     private static final Comparator<Delivery> PRESSING_FIRST =
-            Comparator.comparingDouble((Delivery d) -> -d.rank).thenComparingDouble(d -> d.aimAt);
+            Comparator.comparingDouble((Delivery d) -> -d.rank()).thenComparing(OLDEST_FIRST);
+    /** Pieces of a rank's course, see {@link Delivery#pieceNow}, by what has passed of three. */
+    private static final int PIECES = 8;
+    private static final int AIM_PASSED = 1;
+    private static final int JUMP_PASSED = 2;
+    private static final int LEAST_REACHED = 4;
+    /** Levels of groups that a gate lets pass, and of those that can join a call of this turn. */
+    private static final int OPEN = 1;
+    private static final int JOINABLE = 2;
+    /** The zone of a message that may go to any, and of one that may go to none. */
+    private static final long ANY_ZONE = Long.MAX_VALUE;
+    private static final long NO_ZONE = Long.MIN_VALUE;
+    /** Guards a comparison with a share of what is asked for against its rounding. */
+    private static final double SHARE_MARGIN = 1e-6;
     /** Time before the deadline at which a message that is not out is answered. */
     private static final double ANSWER_MARGIN_MS = 5;
 
     private final Settings settings;
     private final Actions actions;
     private final Random random;
-    /** Some calls carry several messages, so that a message can go without a free slot. */
-    private final boolean joins;
     private final Map<Long, Target> targets = new LinkedHashMap<>();
-    private final Map<Long, Destination> destinations = new LinkedHashMap<>();
+    /** Those that have left the list, in the order in which they left. */
+    private final Set<Target> leaving = new LinkedHashSet<>();
+    private final Map<Long, Destination> destinations = new HashMap<>();
     /** What an earlier life knew of endpoints that no list has named in this one. */
     private final Map<Long, Consumer<Target>> recalled = new LinkedHashMap<>();
-    private final Map<Long, Delivery> deliveries = new LinkedHashMap<>();
-    private final Set<Delivery> queue = new LinkedHashSet<>();
+    private final Map<Long, Delivery> deliveries = new HashMap<>();
+    /** What may go but for its gates, by class and piece of the rank's course; refused messages last. */
+    final Lanes<Delivery> waiting;
+    /** What is asked for, of all destinations. */
+    private final Rate.Total asked = new Rate.Total();
     private final Set<Attempt> out = new LinkedHashSet<>();
-    private final Deque<Double> firstSends = new ArrayDeque<>();
+    private final Times firstSends = new Times();
     private final Throttle copies = new Throttle(COPY_BASE, COPY_SHARE);
     private final Throttle retries = new Throttle(RETRY_BASE, RETRY_SHARE);
     private final Connections connections = new Connections();
-    private final KeyOrder keys = new KeyOrder();
-    private final Timers timers = new Timers();
+    /** Messages in order by key: one at a time, as taken, and a rest after an end that may still run. */
+    final KeyLines<Delivery> lines;
+    private final Timers timers;
     private int slotsUsed;
     private long turn;
+    private long queuings;
     private double closesAt = Double.POSITIVE_INFINITY;
     private double clock = Double.NEGATIVE_INFINITY;
 
@@ -172,7 +194,15 @@
         this.settings = settings;
         this.actions = actions;
         this.random = new Random(seed);
-        this.joins = settings.kinds().stream().anyMatch(kind -> kind.batch() > 1);
+        this.timers = new Timers(CLOCK_MARGIN_MS, actions::wakeAt);
+        this.lines = new KeyLines<>(timers, this::place);
+        int count = 2 * settings.classes().size() * PIECES;
+        this.waiting = new Lanes<>(IntStream.range(0, count).mapToObj(Logic::order).toList(), JOINABLE,
+                Delivery::pieceEnd);
+    }
+
+    private static Comparator<Delivery> order(int lane) {
+        return (lane & (AIM_PASSED | LEAST_REACHED)) == AIM_PASSED ? NEWEST_FIRST : OLDEST_FIRST;
     }
 
     // ---- events ----
@@ -190,17 +220,22 @@
             if (entry.gone()) {
                 target.leave();
             } else {
-                target.serving = entry.serving();
-                target.goneAt = Double.POSITIVE_INFINITY;
+                target.listed(entry.serving());
             }
         }
-        targets.values().removeIf(t -> t.isForgotten() && t.destination.targets.remove(t));
+        // A list may leave one out by mistake: what is known of it stands for as long as it can matter.
+        leaving.stream().peek(t -> waiting.countLook()).takeWhile(t -> clock > t.goneAt + GONE_MS)
+                .filter(t -> t.calls.isEmpty() && t.limit.waitUntil <= clock).toList().forEach(target -> {
+                    leaving.remove(target);
+                    targets.remove(target.entry.id());
+                    target.destination.targets.remove(target);
+                });
     }
 
     @Override
     public void message(double now, Message message) {
         tick(now);
-        take(message).destination.demand.count();
+        take(message).destination.demand.count(clock);
     }
 
     /** Demand is not counted: what comes back at once was asked for over a time that nobody knows. */
@@ -209,6 +244,7 @@
         tick(now);
         Delivery d = take(message);
         d.destination.targets.forEach(t -> t.limit.resumed());
+        d.destination.touch();
         for (EarlierAttempt earlier : attempts) {
             Optional<Target> target = Optional.ofNullable(targets.get(earlier.endpoint()));
             Attempt attempt = new Attempt(d, target, earlier.sentAt());
@@ -217,10 +253,14 @@
                 started(attempt, target.map(t -> t.adopt(earlier)), d.out > 0);
             }
         }
-        keys.resumed(d);
+        if (d.attempts.stream().anyMatch(a -> a.mayHaveRun)) {
+            // What was out in an earlier life may run on.
+            d.line.ifPresent(line -> line.rest(clock + settings.keyRestMs()));
+        }
         if (!attempts.isEmpty() && d.out == 0) {
             giveUpInTime(d);
         }
+        place(d);
     }
 
     @Override
@@ -244,18 +284,15 @@
             recalled.merge(endpoint, recall, Consumer::andThen);
         } else {
             recall.accept(target);
+            target.destination.touch();
         }
     }
 
     @Override
     public Memory memory(double now) {
         tick(now);
-        return new Memory(targets.values().stream().map(Target::known).toList(), ago(firstSends),
-                ago(copies.extra), ago(retries.extra));
-    }
-
-    private List<Double> ago(Deque<Double> times) {
-        return times.stream().map(time -> clock - time).toList();
+        return new Memory(targets.values().stream().map(Target::known).toList(), firstSends.ago(clock),
+                copies.extra.ago(clock), retries.extra.ago(clock));
     }
 
     @Override
@@ -280,9 +317,9 @@
         }
         Delivery d = new Delivery(message);
         deliveries.put(message.id(), d);
-        keys.taken(d);
-        queue.add(d);
-        timers.add(d.deadline - ANSWER_MARGIN_MS, () -> finish(d));
+        d.line.ifPresent(line -> line.add(d));
+        timers.set(d, d.deadline - ANSWER_MARGIN_MS);
+        place(d);
         return d;
     }
 
@@ -300,11 +337,15 @@
         }
         attempt.out = false;
         out.remove(attempt);
+        timers.remove(attempt);
         attempt.mayHaveRun = end.outcome().mayHaveRun();
         d.refused = end.outcome() == Outcome.FULL;
-        d.out--;
         attempt.call.ifPresent(call -> call.itemEnded(end));
-        keys.attemptEnded(d, end.outcome());
+        if (attempt.mayHaveRun && end.outcome() != Outcome.ERROR) {
+            d.line.ifPresent(line -> line.rest(clock + settings.keyRestMs()));
+        }
+        d.line.ifPresent(line -> line.out(-1));
+        d.out--;
         if (end.finished()) {
             close(d);
         }
@@ -343,7 +384,7 @@
         tick(now);
         timers.run(now);
         dispatch();
-        timers.ask(now, nextOpening());
+        timers.ask(now, waiting.nextLook());
         turn++;
     }
 
@@ -351,13 +392,6 @@
         return destinations.computeIfAbsent(id, unknown -> new Destination());
     }
 
-    /** Forgets the times that lie further back. */
-    private void trim(Deque<Double> times, double periodMs) {
-        while (!times.isEmpty() && times.peek() < clock - periodMs) {
-            times.remove();
-        }
-    }
-
     private void tick(double now) {
         if (now < clock) {
             throw new IllegalArgumentException("the clock went back");
@@ -368,40 +402,65 @@
     // ---- decisions ----
 
     /**
-     * Sends what waits, the most pressing first, as far as gates and slots allow. It ranks only what its
-     * destination's gates and slots let pass: a jam must not take the CPU too.
+     * Sends what waits, the most pressing first among all that may go. A group whose first can't go is left
+     * for the turn, as no other can: its destination has calls out and lacks a slot, or the sender closes.
      */
     private void dispatch() {
-        List<Delivery> ranked = new ArrayList<>();
-        List<Delivery> lacking = new ArrayList<>();
-        for (Delivery d : queue) {
-            Destination to = d.destination;
-            if (to.seenTurn != turn) {
-                to.seenTurn = turn;
-                to.openInTurn = to.isOpen();
-                to.slotInTurn = joins || to.hasSlot();
-            }
-            if (to.openInTurn && d.notBefore <= clock) {
-                (to.slotInTurn ? ranked : lacking).add(d);
-            }
-        }
-        ranked.forEach(d -> d.rank = d.rank());
-        ranked.sort(PRESSING_FIRST);
-        for (Delivery d : ranked) {
-            if ((joins || slotsUsed < settings.slots()) && d.destination.isOpen()) {
-                choose(d, false).ifPresent(target -> send(d, target, false));
+        waiting.end(clock, this::place);
+        waiting.look(clock);
+        List<Group<Delivery>> parked = new ArrayList<>();
+        for (Group<Delivery> group = mostPressing(); group != null; group = mostPressing()) {
+            Delivery d = group.first();
+            Optional<Target> target = choose(d, false);
+            if (target.isPresent()) {
+                send(d, target.get(), false);
+                waiting.look(clock);
+            } else if (!mayRepeat(d)) {
+                place(d);
+            } else {
+                group.stand(0);
+                parked.add(group);
             }
         }
-        lacking.addAll(ranked);
-        if (slotsUsed >= settings.slots() - 1 && lacking.stream().anyMatch(this::lacksSlot)) {
+        boolean full = settings.cancels() && slotsUsed >= settings.slots() - 1;
+        if (full && (parked.stream().anyMatch(this::lacksSlot)
+                || waiting.stream(openLanes(), OPEN).anyMatch(this::lacksSlot))) {
             freeSlot();
         }
+        parked.forEach(group -> group.owner.touch());
+        // None joins a call of this turn in the next one.
+        waiting.stream(Integer.MAX_VALUE, JOINABLE).forEach(group -> group.owner.touch());
+    }
+
+    /** The group that goes next, or null: with no slot free only calls of this turn can still be joined. */
+    private Group<Delivery> mostPressing() {
+        return waiting.first(openLanes(), slotsUsed < settings.slots() ? OPEN : JOINABLE, PRESSING_FIRST);
+    }
+
+    /** The number of lanes that may go: those of refused messages as far as the throttle allows. */
+    private int openLanes() {
+        return settings.classes().size() * PIECES * (retries.allows() ? 2 : 1);
+    }
+
+    /** Whether nothing but a slot keeps its messages from being sent. */
+    private boolean lacksSlot(Group<Delivery> group) {
+        return group.stream().filter(this::mayRepeat).limit(1).anyMatch(d -> d.destination.targets.stream()
+                .anyMatch(t -> t.isOpen() && !t.hasSlot() && allows(d, t)));
+    }
+
+    /** Puts a message where it belongs now: into the group of its like, or into none if it may not go. */
+    private void place(Delivery d) {
+        if (!d.ended && d.out == 0 && d.notBefore <= clock && mayGoInOrder(d) && mayRepeat(d)) {
+            int kind = d.message.messageClass() + (d.refused ? settings.classes().size() : 0);
+            d.piece = d.pieceNow();
+            waiting.put(d, d.destination, kind * PIECES + d.piece, d.zone());
+        } else {
+            waiting.remove(d);
+        }
     }
 
-    /** Whether nothing but a slot keeps it from being sent. */
-    private boolean lacksSlot(Delivery d) {
-        return d.out == 0 && d.destination.targets.stream()
-                .anyMatch(t -> t.isOpen() && !t.hasSlot() && allows(d, t));
+    private boolean mayGoInOrder(Delivery d) {
+        return d.line.map(line -> line.lets(d, d.out, clock)).orElse(true);
     }
 
     /**
@@ -411,15 +470,12 @@
      * silent endpoint count as up and take those slots again.
      */
     private void freeSlot() {
-        if (!settings.cancels()) {
-            return;
-        }
         out.stream().filter(a -> !a.calledOff && a.delivery.type.effect() != Effect.UNSAFE)
                 .filter(a -> a.overPatience() > 1)
                 .max(Comparator.comparingDouble(Attempt::overPatience)).ifPresent(most -> {
                     most.calledOff = true;
                     most.target.get().calledOff++;
-                    most.call.ifPresent(Call::overdue);
+                    most.call.ifPresent(Call::due);
                     actions.cancel(most.delivery.message.id(), most.delivery.attempts.indexOf(most));
                 });
     }
@@ -435,17 +491,17 @@
 
     /** The gate that every send passes: first send, copy and new wave. */
     private boolean maySend(Delivery d, Target target) {
-        return allows(d, target) && (target.mayJoin()
-                || target.hasSlot() && target.isOpen());
+        return allows(d, target) && (target.mayJoin() || target.hasSlot() && target.isOpen());
     }
 
     /** The gates that hold for any send of the message there, whether it takes a slot or joins a call. */
     private boolean allows(Delivery d, Target target) {
+        waiting.countLook();
         return !d.ended && target.serving
                 && clock < d.deadline - ANSWER_MARGIN_MS
                 && d.attempts.size() < settings.maxAttempts()
                 && mayRepeat(d, target)
-                && keys.mayGo(d)
+                && mayGoInOrder(d)
                 && (!d.refused || d.out > 0 || retries.allows())
                 && target.limit.waitUntil <= clock
                 && clock + target.expectedEnd(d.type) <= closesAt;
@@ -453,25 +509,15 @@
 
     /** Whether one more attempt there keeps the promise that no effect happens twice. */
     private boolean mayRepeat(Delivery d, Target target) {
-        return mayRepeat(d) && !(d.type.effect() == Effect.KEYED && d.type.sameZone()
-                && d.attempts.stream().anyMatch(a -> (a.out || a.mayHaveRun) && !a.isInZoneOf(target)));
+        long zone = d.zone();
+        return mayRepeat(d) && (zone == ANY_ZONE || zone == target.entry.zone());
     }
 
     /** The same wherever the attempt may go, as far as time and effect alone tell. */
     private boolean mayRepeat(Delivery d) {
-        for (Attempt earlier : d.attempts) {
-            if (!earlier.out && !earlier.mayHaveRun) {
-                continue;
-            }
-            if (earlier.out && !settings.copies() || d.type.effect() == Effect.UNSAFE) {
-                return false;
-            }
-            if (d.type.effect() == Effect.KEYED
-                    && clock > earlier.sentAt + d.type.windowMs() - WINDOW_MARGIN_MS) {
-                return false;
-            }
-        }
-        return true;
+        double window = d.type.effect() == Effect.SAFE ? Double.POSITIVE_INFINITY : d.type.windowMs();
+        return d.attempts.stream().filter(Attempt::mayRun).allMatch(a -> (!a.out || settings.copies())
+                && d.type.effect() != Effect.UNSAFE && clock <= a.sentAt + window - WINDOW_MARGIN_MS);
     }
 
     private void send(Delivery d, Target target, boolean copy) {
@@ -481,7 +527,7 @@
             copies.sent(clock);
         } else if (d.attempts.size() == 1) {
             firstSends.add(clock);
-            trim(firstSends, THROTTLE_PERIOD_MS);
+            firstSends.trim(clock - THROTTLE_PERIOD_MS);
         } else if (d.refused) {
             retries.sent(clock);
         }
@@ -497,21 +543,13 @@
         attempt.out = true;
         out.add(attempt);
         d.out++;
-        queue.remove(d);
-        keys.attemptSent(d);
+        place(d);
+        d.line.ifPresent(line -> line.out(1));
         double offset = d.type.aimMs() * COPY_OFFSET;
         if (!copy && clock <= attempt.sentAt + offset) {
-            timers.add(attempt.sentAt + offset, () -> offsetPassed(d, attempt));
-        }
-        call.ifPresent(c -> timers.add(attempt.sentAt + Math.max(offset, c.target.patience()), c::overdue));
-    }
-
-    /** The scheduled offset after a send: a copy may join the wave. */
-    private void offsetPassed(Delivery d, Attempt attempt) {
-        boolean races = attempt.out && d.type.effect() != Effect.UNSAFE && settings.copies();
-        if (races && !d.ended && slotsUsed < settings.slots() && copies.allows()) {
-            choose(d, true).ifPresent(target -> send(d, target, true));
+            timers.set(attempt, attempt.sentAt + offset);
         }
+        call.ifPresent(c -> c.overdueAt(attempt.sentAt + Math.max(offset, c.target.patience())));
     }
 
     /** Every attempt has ended retryable: wait for a new wave, unless no further attempt can be allowed. */
@@ -523,8 +561,8 @@
         double backoff = BACKOFF_MS * Math.pow(BACKOFF_GROWTH, d.waves) * (0.75 + 0.5 * random.nextDouble());
         d.notBefore = clock + Math.min(backoff, (d.deadline - clock) / 2);
         d.waves++;
-        queue.add(d);
-        timers.add(d.notBefore, () -> { });
+        d.queued = queuings++;
+        d.pause = timers.add(d.notBefore, () -> place(d));
     }
 
     /**
@@ -534,13 +572,10 @@
     private void giveUpInTime(Delivery d) {
         if (!mayGoOn(d)) {
             finish(d);
-        } else if (d.type.effect() == Effect.KEYED) {
+        } else if (d.type.effect() == Effect.KEYED && d.window == null) {
             d.attempts.stream().filter(a -> a.mayHaveRun).mapToDouble(a -> a.sentAt).min().ifPresent(first ->
-                    timers.add(first + d.type.windowMs() - WINDOW_MARGIN_MS + CLOCK_MARGIN_MS, () -> {
-                        if (!mayGoOn(d)) {
-                            finish(d);
-                        }
-                    }));
+                    d.window = timers.add(first + d.type.windowMs() - WINDOW_MARGIN_MS + CLOCK_MARGIN_MS,
+                            () -> giveUpInTime(d)));
         }
     }
 
@@ -556,9 +591,8 @@
         if (d.ended || d.out > 0) {
             return;
         }
-        boolean repeatable = d.type.effect() == Effect.SAFE
-                || d.type.effect() == Effect.KEYED && !d.type.sameZone();
-        if (repeatable || d.attempts.stream().noneMatch(a -> a.out || a.mayHaveRun)) {
+        boolean repeatable = d.type.effect() != Effect.UNSAFE && !d.isBoundToZone();
+        if (repeatable || d.attempts.stream().noneMatch(Attempt::mayRun)) {
             actions.refuse(d.message.id(), Math.max(0, d.destination.opensAt() - clock));
         } else {
             actions.fail(d.message.id());
@@ -572,8 +606,9 @@
             return;
         }
         d.ended = true;
-        queue.remove(d);
-        keys.ended(d);
+        waiting.remove(d);
+        Stream.of(d, d.window, d.pause).filter(Objects::nonNull).forEach(timers::remove);
+        d.line.ifPresent(line -> line.remove(d));
         for (int i = 0; i < d.attempts.size(); i++) {
             if (d.attempts.get(i).out && settings.cancels()) {
                 actions.cancel(d.message.id(), i);
@@ -588,25 +623,24 @@
         }
     }
 
-    /** When the next gate opens by time alone for a message that waits. */
-    private double nextOpening() {
-        return destinations.values().stream().filter(to -> to.seenTurn == turn)
-                .flatMap(to -> to.targets.stream()).filter(t -> t.serving).mapToDouble(Target::gatesOpenAt)
-                .filter(at -> at > clock).min().orElse(Double.POSITIVE_INFINITY);
-    }
-
     // ---- parts ----
 
     /** A message and its wave. */
-    private final class Delivery {
+    private final class Delivery extends Lanes.Element<Delivery> {
         final Message message;
         final MessageClass type;
         final Destination destination;
         final double aimAt;
         final double deadline;
-        final List<Attempt> attempts = new ArrayList<>();
+        List<Attempt> attempts = List.of();
         double notBefore = Double.NEGATIVE_INFINITY;
-        double rank;
+        /** Its number in the order in which messages began to wait, or to wait again. */
+        long queued = queuings++;
+        final Optional<KeyLines<Delivery>.Line> line;
+        /** The end of its window for repeats, and of its pause. */
+        Timer window;
+        Timer pause;
+        int piece;
         int waves;
         boolean refused;
         int out;
@@ -618,6 +652,25 @@
             this.destination = destination(message.destination());
             this.deadline = clock + message.timeLeftMs();
             this.aimAt = deadline - type.deadlineMs() + type.aimMs();
+            this.line = message.key().filter(key -> type.inOrder()).map(lines::line);
+        }
+
+        @Override
+        void due() {
+            finish(this);
+        }
+
+        /** Whether repeats are dropped within one zone only. */
+        boolean isBoundToZone() {
+            return type.effect() == Effect.KEYED && type.sameZone();
+        }
+
+        /** The zone that it is bound to, as it may have run there. */
+        long zone() {
+            long[] ran = attempts.stream().filter(a -> a.mayRun() && isBoundToZone())
+                    .mapToLong(a -> a.target.map(t -> (long) t.entry.zone()).orElse(NO_ZONE))
+                    .distinct().toArray();
+            return ran.length == 0 ? ANY_ZONE : ran.length == 1 ? ran[0] : NO_ZONE;
         }
 
         boolean isOutAt(Target target) {
@@ -640,13 +693,38 @@
             double worth = worthAt(clock);
             return worth - worthAt(clock + RANK_HORIZON_MS) + RANK_WORTH * worth;
         }
+
+        /**
+         * The piece of its rank's course over time. Up to the aim rank only rises, and of one class the older
+         * comes first. Then it falls, and the newer comes first, with a jump up where the horizon reaches the
+         * deadline. Where worth has come to its least it stays the same, and the older comes first.
+         */
+        int pieceNow() {
+            return (clock > aimAt ? AIM_PASSED : 0) + (clock > deadline - RANK_HORIZON_MS ? JUMP_PASSED : 0)
+                    + (clock > leastAt() ? LEAST_REACHED : 0);
+        }
+
+        /** The last moment of the piece that it was put in. */
+        double pieceEnd() {
+            double jumpAt = (piece & JUMP_PASSED) > 0 ? Double.POSITIVE_INFINITY : deadline - RANK_HORIZON_MS;
+            double least = (piece & LEAST_REACHED) > 0 ? Double.POSITIVE_INFINITY : leastAt();
+            return (piece & AIM_PASSED) > 0 ? Math.min(jumpAt, least) : Math.min(jumpAt, aimAt);
+        }
+
+        private double leastAt() {
+            if (type.worth() <= 0 || type.lateWorth() >= 1) {
+                return aimAt;
+            }
+            return settings.decay() == Decay.LINE ? Double.POSITIVE_INFINITY
+                    : aimAt - type.aimMs() * Math.log(type.lateWorth()) / Math.log(2);
+        }
     }
 
     /**
      * One attempt of a message; those of an earlier life have no call and hold nothing, unless they are still
      * out, and their endpoint may have left the list since.
      */
-    private final class Attempt {
+    private final class Attempt extends Timer {
         final Delivery delivery;
         final Optional<Target> target;
         final double sentAt;
@@ -659,22 +737,34 @@
             this.delivery = delivery;
             this.target = target;
             this.sentAt = sentAt;
+            if (delivery.attempts.isEmpty()) {
+                delivery.attempts = new ArrayList<>(2);
+            }
             delivery.attempts.add(this);
         }
 
+        /** The scheduled offset after a send: a copy may join the wave. */
+        @Override
+        void due() {
+            boolean races = out && delivery.type.effect() != Effect.UNSAFE && settings.copies();
+            if (races && !delivery.ended && slotsUsed < settings.slots() && copies.allows()) {
+                choose(delivery, true).ifPresent(target -> send(delivery, target, true));
+            }
+        }
+
+        boolean mayRun() {
+            return out || mayHaveRun;
+        }
+
         /** How long it has been out, by its endpoint's patience, which grows with calls called off before. */
         double overPatience() {
             return target.map(t -> (clock - sentAt)
                     / (Math.max(t.patience(), CALL_OFF_LEAST_MS) * (1 + t.calledOff))).orElse(0.0);
         }
-
-        boolean isInZoneOf(Target other) {
-            return target.filter(t -> t.entry.zone() == other.entry.zone()).isPresent();
-        }
     }
 
     /** Messages that travel as one: one slot, one fate. */
-    private final class Call {
+    private final class Call extends Timer {
         final Target target;
         final double sentAt;
         final long sentTurn = turn;
@@ -695,6 +785,7 @@
             slotsUsed++;
             target.calls.add(this);
             target.destination.out++;
+            target.destination.touch();
         }
 
         void itemEnded(AttemptEnd end) {
@@ -710,60 +801,67 @@
                 slotsUsed--;
                 target.calls.remove(this);
                 target.destination.out--;
+                timers.remove(this);
+            }
+            target.destination.touch();
+        }
+
+        /** The first of its messages that is overdue tells. */
+        void overdueAt(double time) {
+            if (time < at()) {
+                timers.set(this, time);
             }
         }
 
-        void overdue() {
+        @Override
+        void due() {
             if (!late && !observed && itemsOut > 0) {
                 late = true;
                 target.overdue(this);
+                target.destination.touch();
             }
         }
     }
 
     /** A destination: its endpoints and, where they share one, its limit. */
-    private final class Destination {
-        final List<Target> targets = new ArrayList<>();
+    private final class Destination extends Lanes.Owner<Delivery> {
+        final List<Target> targets = new ArrayList<>(2);
         final Limit shared = new Limit(this);
-        final Rate demand = new Rate();
+        final Rate demand = new Rate(clock, asked);
         int out;
-        /** The last turn in which a message waited for it; whether gates and slots let calls pass then. */
-        long seenTurn = -1;
-        boolean openInTurn;
-        boolean slotInTurn;
-
-        /** Endpoints that share its messages. */
-        long serving() {
-            return Math.max(1, targets.stream().filter(t -> t.serving).count());
+        Destination() {
+            super(waiting);
         }
 
-        /** Whether the pace, waits and health of any of its endpoints let a call pass. */
-        boolean isOpen() {
-            return targets.stream()
-                    .anyMatch(t -> t.serving && (t.mayJoin() || t.limit.waitUntil <= clock && t.isOpen()));
-        }
-
-        /** Whether a slot is free for a call to any of its endpoints. */
-        boolean hasSlot() {
-            return targets.stream().anyMatch(t -> t.serving && t.hasSlot());
+        /** A group stands while a gate is open, and higher if it can join a call. */
+        @Override
+        double look() {
+            for (Group<Delivery> group : groups()) {
+                group.stand(targets.stream().filter(t -> t.lets(group.tag))
+                        .mapToInt(t -> t.mayJoin() ? JOINABLE : OPEN).max().orElse(0));
+            }
+            return gatesOpenAt().filter(at -> at > clock).min().orElse(Double.POSITIVE_INFINITY);
         }
 
-        /** Its part of all that is asked for. */
-        double part() {
-            return demand.events / destinations.values().stream().mapToDouble(to -> to.demand.events).sum();
+        /** Endpoints that share its messages. */
+        long serving() {
+            return Math.max(1, targets.stream().filter(t -> t.serving).count());
         }
 
         /** When it is worth coming back: the first opening, or now where none is known. */
         double opensAt() {
-            return targets.stream().filter(t -> t.serving).mapToDouble(Target::gatesOpenAt).min()
-                    .orElse(clock);
+            return gatesOpenAt().min().orElse(clock);
+        }
+
+        private DoubleStream gatesOpenAt() {
+            return targets.stream().filter(t -> t.serving).mapToDouble(Target::gatesOpenAt);
         }
     }
 
     /** The pace and told wait of what shares one limit. Guards against refusals and broken waits. */
     private final class Limit {
-        final Rate sends = new Rate();
-        final Deque<Double> lastSecond = new ArrayDeque<>();
+        final Rate sends = new Rate(clock);
+        final Times lastSecond = new Times();
         final Destination destination;
         int pressed;
         double listedRate;
@@ -778,12 +876,12 @@
         }
 
         void sent() {
-            if (!lastSecond.isEmpty() && lastSecond.peekLast() < clock - IDLE_MS) {
+            if (!lastSecond.isEmpty() && lastSecond.last() < clock - IDLE_MS) {
                 rate = Double.POSITIVE_INFINITY;
             }
-            sends.count();
+            sends.count(clock);
             lastSecond.add(clock);
-            trim(lastSecond, 1000);
+            lastSecond.trim(clock - 1000);
             if (rate < Double.POSITIVE_INFINITY) {
                 nextAt = Math.max(nextAt + 1 / rate, clock);
             }
@@ -799,6 +897,7 @@
 
         /** Each message of a call may be told its own wait, in turns of its own. */
         void told(double waitMs) {
+            destination.touch();
             waitUntil = waitMs > 0 ? Math.max(waitUntil, clock + waitMs + CLOCK_MARGIN_MS) : waitUntil;
         }
 
@@ -864,30 +963,6 @@
         }
     }
 
-    /** Events a millisecond over the last stretch of time in which they were watched. */
-    private final class Rate {
-        double events;
-        double over;
-        double at = clock;
-
-        void count() {
-            double kept = Math.exp((at - clock) / CARRIED_MS);
-            events = events * kept + 1;
-            over = over * kept + CARRIED_MS * (1 - kept);
-            at = clock;
-        }
-
-        /** Goes on from a rate that another process saw. */
-        void recall(double perMs) {
-            events = perMs * CARRIED_MS;
-            over = CARRIED_MS;
-        }
-
-        double perMs() {
-            return events / Math.max(over, CARRIED_LEAST_MS);
-        }
-    }
-
     /**
      * An endpoint and its health. Guards against dead, silent, failing and shut endpoints alike: when down,
      * single trials replace the backlog; when it answers again, a ramp keeps within what a cold endpoint can
@@ -903,7 +978,7 @@
         State state = State.UP;
         Call latest;
         /** Its calls that are out, in the order sent. */
-        final Deque<Call> calls = new ArrayDeque<>();
+        final List<Call> calls = new ArrayList<>(0);
         double latency = FIRST_LATENCY_MS;
         double deviation = FIRST_LATENCY_MS / 2;
         double bad;
@@ -912,7 +987,7 @@
         int fruitless;
         double fruitlessSince;
         double lastGood = Double.NEGATIVE_INFINITY;
-        final Rate carried = new Rate();
+        final Rate carried = new Rate(clock);
         double warmSince;
         double downAt;
         boolean silentOnly;
@@ -947,14 +1022,24 @@
             lastGood = clock - known.goodAgoMs();
         }
 
+        void listed(boolean serves) {
+            serving = serves;
+            goneAt = Double.POSITIVE_INFINITY;
+            leaving.remove(this);
+            destination.touch();
+        }
+
         void leave() {
             serving = false;
             goneAt = Math.min(goneAt, clock);
+            leaving.add(this);
+            destination.touch();
         }
 
-        /** A list may leave one out by mistake: what is known of it stands for as long as it can matter. */
-        boolean isForgotten() {
-            return clock > goneAt + GONE_MS && calls.isEmpty() && limit.waitUntil <= clock;
+        /** Whether its gates let a message go there that is bound to a zone. */
+        boolean lets(long zone) {
+            return serving && (zone == ANY_ZONE || zone == entry.zone())
+                    && (mayJoin() || limit.waitUntil <= clock && isOpen());
         }
 
         /**
@@ -979,6 +1064,7 @@
                 limit.sent();
                 nextAt = state == State.UP ? nextAt : clock + 1 / allowedRate();
             }
+            destination.touch();
             latest.items++;
             latest.itemsOut++;
             return latest;
@@ -1002,13 +1088,14 @@
             int free = settings.slots() - slotsUsed;
             boolean quick = latency <= QUICK_MS && lastGood > Double.NEGATIVE_INFINITY && calls.stream()
                     .skip(SILENT_CALLS - 1).limit(1).allMatch(c -> clock - c.sentAt <= patience());
-            boolean lacks = destination.out + 1 < settings.slots() * destination.part();
+            double part = settings.slots() * destination.demand.share();
+            boolean lacks = destination.out + 1 + SHARE_MARGIN < part;
             return quick && free > (lacks ? 0 : 1) || free > 0 && destination.out < Math.max(1, free - 1);
         }
 
         /** Whether pace and health let the next call go. */
         boolean isOpen() {
-            return limit.nextAt <= clock && opensAt() <= clock;
+            return limit.nextAt <= clock && nextAt <= clock && (state != State.DOWN || calls.isEmpty());
         }
 
         /** When its gates open, as far as time alone opens them. */
@@ -1016,11 +1103,6 @@
             return Math.max(Math.max(limit.waitUntil, limit.nextAt), nextAt);
         }
 
-        /** When its health lets the next call go. */
-        double opensAt() {
-            return state == State.DOWN && !calls.isEmpty() ? Double.POSITIVE_INFINITY : nextAt;
-        }
-
         /** How long a usual answer may take here. */
         double patience() {
             return latency + SILENT_DEVIATIONS * deviation;
@@ -1092,7 +1174,7 @@
             deviation += LATENCY_WEIGHT * (Math.abs(end.tookMs() - latency) - deviation);
             latency += LATENCY_WEIGHT * (end.tookMs() - latency);
             if (state == State.UP) {
-                carried.count();
+                carried.count(clock);
             } else if (state == State.DOWN && silentOnly && call.sentAt < downAt) {
                 up("was slow, not silent");
             } else if (state == State.DOWN && blip) {
@@ -1143,7 +1225,7 @@
             state = State.UP;
             nextAt = clock;
             // The time of the outage does not count.
-            carried.at = clock;
+            carried.skipTo(clock);
             actions.log("endpoint " + entry.id() + " " + symptom);
             remember();
         }
@@ -1225,7 +1307,7 @@
     private final class Throttle {
         private final double base;
         private final double share;
-        private final Deque<Double> extra = new ArrayDeque<>();
+        private final Times extra = new Times();
 
         Throttle(double base, double share) {
             this.base = base;
@@ -1238,99 +1320,9 @@
         }
 
         boolean allows() {
-            trim(extra, THROTTLE_PERIOD_MS);
-            trim(firstSends, THROTTLE_PERIOD_MS);
+            extra.trim(clock - THROTTLE_PERIOD_MS);
+            firstSends.trim(clock - THROTTLE_PERIOD_MS);
             return extra.size() + 1 <= base + share * firstSends.size();
         }
     }
-
-    /** Messages in order by key: one at a time, as taken, and a rest after an end that may still run. */
-    private final class KeyOrder {
-        private final Map<String, Line> lines = new LinkedHashMap<>();
-
-        private static final class Line {
-            final Deque<Delivery> waiting = new ArrayDeque<>();
-            double restUntil = Double.NEGATIVE_INFINITY;
-            int out;
-        }
-
-        private Optional<Line> line(Delivery d) {
-            return d.type.inOrder() ? d.message.key().map(lines::get) : Optional.empty();
-        }
-
-        void taken(Delivery d) {
-            if (d.type.inOrder()) {
-                d.message.key().ifPresent(key -> lines.computeIfAbsent(key, k -> new Line()).waiting.add(d));
-            }
-        }
-
-        /** What was out in an earlier life may run on, so its key rests. */
-        void resumed(Delivery d) {
-            if (d.attempts.stream().anyMatch(a -> a.mayHaveRun)) {
-                line(d).ifPresent(l -> l.restUntil = clock + settings.keyRestMs());
-                timers.add(clock + settings.keyRestMs(), () -> drop(d));
-            }
-        }
-
-        boolean mayGo(Delivery d) {
-            return line(d).map(l -> l.waiting.peek() == d && l.out == d.out && l.restUntil <= clock)
-                    .orElse(true);
-        }
-
-        void attemptSent(Delivery d) {
-            line(d).ifPresent(l -> l.out++);
-        }
-
-        void attemptEnded(Delivery d, Outcome outcome) {
-            line(d).ifPresent(l -> {
-                l.out--;
-                if (outcome.mayHaveRun() && outcome != Outcome.ERROR) {
-                    l.restUntil = clock + settings.keyRestMs();
-                    timers.add(l.restUntil, () -> drop(d));
-                }
-                drop(d);
-            });
-        }
-
-        void ended(Delivery d) {
-            line(d).ifPresent(l -> l.waiting.remove(d));
-            drop(d);
-        }
-
-        private void drop(Delivery d) {
-            line(d).filter(l -> l.waiting.isEmpty() && l.out == 0 && l.restUntil <= clock)
-                    .ifPresent(l -> lines.remove(d.message.key().get()));
-        }
-    }
-
-    /** What is due later, and the one wake that is asked for it. */
-    private final class Timers {
-        private final PriorityQueue<Timer> due =
-                new PriorityQueue<>(Comparator.comparingDouble(Timer::at).thenComparingLong(Timer::number));
-        private long count;
-        private double asked = Double.POSITIVE_INFINITY;
-
-        private record Timer(double at, long number, Runnable action) {
-        }
-
-        void add(double at, Runnable action) {
-            due.add(new Timer(at, count++, action));
-        }
-
-        void run(double now) {
-            while (!due.isEmpty() && due.peek().at() <= now) {
-                due.remove().action().run();
-            }
-        }
-
-        void ask(double now, double opening) {
-            double next = Math.min(opening, due.isEmpty() ? Double.POSITIVE_INFINITY : due.peek().at());
-            if (asked <= now + CLOCK_MARGIN_MS || next < asked) {
-                asked = next;
-                if (next < Double.POSITIVE_INFINITY) {
-                    actions.wakeAt(next);
-                }
-            }
-        }
-    }
 }
--- /dev/null
+++ b/src/test/java/kestreldeal/LogicCostTest.java
@@ -0,0 +1,177 @@
+package kestreldeal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import kestreldeal.Relay.Outcome;
+import org.junit.jupiter.api.Test;
+
+/**
+ * What a turn and a change cost, counted by what the module looks at, not by a clock: with a hundred times as much
+ * waiting, listed or both at most three times as much.
+ */
+class LogicCostTest {
+    private static final int FEW = 1000;
+    private static final int MANY = 100_000;
+    private static final int SLOTS = 50;
+
+    @Test
+    void aTurnInWhichNothingCanGoCostsTheSameHoweverMuchWaits() {
+        long few = idleTurn(new Scale(100, 200, FEW));
+        long many = idleTurn(new Scale(100, 200, MANY));
+        assertTrue(few > 0 && many <= 3 * few, few + " and " + many);
+    }
+
+    @Test
+    void aTurnInWhichNothingCanGoCostsTheSameHoweverManyDestinationsWait() {
+        long few = idleTurn(new Scale(FEW, FEW, FEW));
+        long many = idleTurn(new Scale(MANY, MANY, MANY));
+        assertTrue(few > 0 && many <= 3 * few, few + " and " + many);
+    }
+
+    @Test
+    void aTurnWhileAllGatesAreClosedCostsTheSameHoweverMuchWaits() {
+        long few = idleTurn(new Scale(FEW, FEW, FEW).waits());
+        long many = idleTurn(new Scale(MANY, MANY, MANY).waits());
+        assertTrue(many <= 3 * Math.max(1, few), few + " and " + many);
+    }
+
+    @Test
+    void aChangeOfOneEntryCostsTheSameHoweverMuchIsListedAndWaits() {
+        for (int waiting : new int[] {0, 1}) {
+            long few = change(new Scale(FEW, FEW, waiting * FEW));
+            long many = change(new Scale(MANY, MANY, waiting * MANY));
+            assertTrue(many <= 3 * Math.max(1, few), waiting + " waiting each: " + few + " and " + many);
+        }
+    }
+
+    @Test
+    void aChangeWhileManyAreAboutToBeForgottenCostsTheSame() {
+        long few = change(new Scale(FEW, FEW, 0).leave());
+        long many = change(new Scale(MANY, MANY, 0).leave());
+        assertTrue(few > 0 && many <= 3 * few, few + " and " + many);
+    }
+
+    @Test
+    void aTurnCostsByHowManyGo() {
+        long few = sends(new Scale(100, 200, FEW), 20);
+        long many = sends(new Scale(100, 200, MANY), 20);
+        assertTrue(many <= 3 * few, few + " and " + many);
+        long spread = sends(new Scale(MANY, MANY, MANY), 20);
+        assertTrue(spread <= 3 * few, few + " and " + spread + " at as many destinations");
+    }
+
+    private static long idleTurn(Scale s) {
+        s.turn();
+        long before = s.logic.waiting.looks();
+        int sent = s.sent.size();
+        for (int i = 0; i < 10; i++) {
+            s.now += 1;
+            s.turn();
+        }
+        assertEquals(sent, s.sent.size(), "nothing may go");
+        return s.logic.waiting.looks() - before;
+    }
+
+    private static long change(Scale s) {
+        s.turn();
+        long before = s.logic.waiting.looks();
+        for (int i = 0; i < 10; i++) {
+            s.now += 1;
+            s.logic.endpoints(s.now, false, List.of(s.entry(i, i % 2 == 0)));
+            s.turn();
+        }
+        return s.logic.waiting.looks() - before;
+    }
+
+    private static long sends(Scale s, int k) {
+        s.turn();
+        assertEquals(SLOTS, s.sent.size());
+        s.now += 1;
+        for (int i = 0; i < k; i++) {
+            s.logic.attemptEnded(s.now, new Relay.AttemptEnd(s.sent.get(i), 0, Outcome.DELIVERED, 1, true, 0));
+        }
+        long before = s.logic.waiting.looks();
+        s.turn();
+        assertEquals(SLOTS + k, s.sent.size(), "as many go as have ended");
+        return s.logic.waiting.looks() - before;
+    }
+
+    /** A module that has so much listed and waiting. */
+    private static final class Scale implements Relay.Actions {
+        final List<Long> sent = new ArrayList<>();
+        final int destinations;
+        final Logic logic;
+        double now = 1000;
+
+        Scale(int destinations, int endpoints, int waiting) {
+            this.destinations = destinations;
+            Relay.Settings settings = new Relay.Settings(LogicTest.CLASSES, List.of(new Relay.Kind(false, 1)), false,
+                    Relay.Decay.LINE, List.of(), 2, SLOTS, 12, true, true, 500, 15_000,
+                    new Relay.ColdStart(0.2, 12_000, 2, 1500));
+            logic = new Logic(settings, 1, this);
+            List<Relay.Endpoint> entries = new ArrayList<>();
+            for (int i = 0; i < endpoints; i++) {
+                entries.add(entry(i, true));
+            }
+            logic.endpoints(now, true, entries);
+            for (int i = 0; i < waiting; i++) {
+                logic.message(now, new Relay.Message(i, 0, 0, Optional.empty(), 16_000, i % destinations));
+            }
+        }
+
+        Relay.Endpoint entry(int number, boolean serving) {
+            return new Relay.Endpoint(number, number % destinations, 0, 0, serving, 0);
+        }
+
+        /** Every destination has told to wait. */
+        Scale waits() {
+            for (int i = 0; i < destinations; i++) {
+                logic.waitTold(now, i, 10_000);
+            }
+            return this;
+        }
+
+        /** All but a few have just left the list. */
+        Scale leave() {
+            logic.endpoints(now, true, List.of(entry(0, true)));
+            return this;
+        }
+
+        void turn() {
+            logic.endTurn(now);
+        }
+
+        @Override
+        public void send(long message, long endpoint, double timeoutMs) {
+            sent.add(message);
+        }
+
+        @Override
+        public void cancel(long message, int attempt) {
+        }
+
+        @Override
+        public void closeIdle(long endpoint) {
+        }
+
+        @Override
+        public void refuse(long message, double waitMs) {
+        }
+
+        @Override
+        public void fail(long message) {
+        }
+
+        @Override
+        public void wakeAt(double time) {
+        }
+
+        @Override
+        public void log(String text) {
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/kestreldeal/LogicWalkTest.java
@@ -0,0 +1,410 @@
+package kestreldeal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.reflect.Array;
+import java.lang.reflect.Field;
+import java.lang.reflect.Modifier;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import kestreldeal.Relay.Effect;
+import kestreldeal.Relay.MessageClass;
+import kestreldeal.Relay.Outcome;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The module beside its reference, {@link WalkingLogic}: both get the same random sequences of events and must do the
+ * same in the same order. The property {@code walk.seeds} sets how many sequences, from {@code walk.first} on.
+ */
+class LogicWalkTest {
+    private static final int SEEDS = Integer.getInteger("walk.seeds", 400);
+    private static final int FIRST = Integer.getInteger("walk.first", 1);
+
+    @Test
+    void doesWhatTheWalkDoesAndIsLeftEmpty() {
+        long actions = 0;
+        for (int seed = FIRST; seed < FIRST + SEEDS; seed++) {
+            Play play = new Play(seed);
+            try {
+                play.run(seed % 20 == 0 ? 1500 : 120);
+            } catch (AssertionError | RuntimeException e) {
+                throw new AssertionError("seed " + seed + ", step " + play.step + ", at " + play.now + ", "
+                        + play.settings + ": " + e.getMessage(), e);
+            }
+            actions += play.count;
+            if (SEEDS > 1000 && seed % 1000 == 0) {
+                System.out.println("seed " + seed + ", actions so far " + actions);
+            }
+        }
+        System.out.println("equal over " + SEEDS + " sequences with " + actions + " actions");
+        assertTrue(actions > 20L * SEEDS, "the sequences must make the module act: " + actions);
+    }
+
+    /** One action; what does not apply is 0. */
+    private record Action(String kind, long id, long other, double value) {
+    }
+
+    private static final class Recorder implements Relay.Actions {
+        final List<Action> done = new ArrayList<>();
+        /** The wake that it last asked for. */
+        double wake = Double.POSITIVE_INFINITY;
+
+        @Override
+        public void send(long message, long endpoint, double timeoutMs) {
+            done.add(new Action("send", message, endpoint, timeoutMs));
+        }
+
+        @Override
+        public void cancel(long message, int attempt) {
+            done.add(new Action("cancel", message, attempt, 0));
+        }
+
+        @Override
+        public void closeIdle(long endpoint) {
+            done.add(new Action("close idle", endpoint, 0, 0));
+        }
+
+        @Override
+        public void refuse(long message, double waitMs) {
+            done.add(new Action("refuse", message, 0, waitMs));
+        }
+
+        @Override
+        public void fail(long message) {
+            done.add(new Action("fail", message, 0, 0));
+        }
+
+        @Override
+        public void wakeAt(double time) {
+            wake = time;
+        }
+
+        @Override
+        public void remember(long endpoint, Relay.Health health) {
+            done.add(new Action("remember " + health.state(), endpoint, 0, health.carriedPerMs()));
+        }
+
+        @Override
+        public void log(String text) {
+            done.add(new Action(text, 0, 0, 0));
+        }
+    }
+
+    /** An attempt that is out, as the caller knows it. */
+    private record Out(long message, int attempt, double sentAt) {
+    }
+
+    /** One random sequence of events, told to both. */
+    private static final class Play {
+        final Random random;
+        final Relay.Settings settings;
+        final Recorder asked = new Recorder();
+        final Recorder wanted = new Recorder();
+        final Logic logic;
+        final WalkingLogic walk;
+        final List<Out> out = new ArrayList<>();
+        final List<Integer> attempts = new ArrayList<>();
+        final int destinations;
+        final double grain;
+        final double pace;
+        final double trouble;
+        double now = 1000;
+        int step;
+        long count;
+        long calls = 1;
+
+        Play(long seed) {
+            random = new Random(seed);
+            settings = settings();
+            destinations = 1 + random.nextInt(6);
+            grain = random.nextInt(4) == 0 ? 0 : 0.25;
+            pace = Math.pow(10, 1 + 0.9 * random.nextDouble());
+            trouble = random.nextDouble();
+            logic = new Logic(settings, seed, asked);
+            walk = new WalkingLogic(settings, seed, wanted);
+        }
+
+        private Relay.Settings settings() {
+            List<MessageClass> classes = new ArrayList<>();
+            for (int i = 1 + random.nextInt(5); i > 0; i--) {
+                Effect effect = Effect.values()[random.nextInt(3)];
+                double aim = pick(300, 1000, 2000, 5000);
+                double deadline = aim * pick(1, 1.25, 3, 8) + pick(0, 0.5, 400);
+                classes.add(new MessageClass(aim, deadline, pick(0, 0.3, 1, 1, 4), pick(0, 0.1, 0.5, 0.9, 1), effect,
+                        effect == Effect.KEYED && random.nextBoolean(), pick(400, 1000, 4000, 60_000),
+                        random.nextInt(3) == 0));
+            }
+            int batch = random.nextBoolean() ? 1 : 5;
+            List<Relay.Kind> kinds = List.of(new Relay.Kind(false, 1), new Relay.Kind(random.nextBoolean(), batch),
+                    new Relay.Kind(true, 1));
+            return new Relay.Settings(classes, kinds, random.nextBoolean(),
+                    random.nextBoolean() ? Relay.Decay.LINE : Relay.Decay.HALVES, List.of(0.0, 0.06),
+                    1 + random.nextInt(3), (int) pick(1, 2, 3, 5, 10, 40), (int) pick(2, 3, 12),
+                    random.nextInt(4) > 0, random.nextInt(4) > 0, pick(0, 100, 500), pick(500, 15_000),
+                    new Relay.ColdStart(0.2, pick(1000, 12_000), 2, 1500));
+        }
+
+        private double pick(double... of) {
+            return of[random.nextInt(of.length)];
+        }
+
+        void run(int steps) {
+            recall();
+            list(true);
+            for (step = 0; step < steps; step++) {
+                for (int i = random.nextInt(4); i > 0; i--) {
+                    event();
+                }
+                turn();
+                advance();
+            }
+            end();
+        }
+
+        private void recall() {
+            for (int i = random.nextInt(3); i > 0; i--) {
+                Relay.Health health = new Relay.Health(Relay.State.values()[random.nextInt(3)], now - 300, 0.01);
+                long endpoint = endpoint();
+                both(r -> r.recalled(now, endpoint, health));
+            }
+            if (random.nextInt(4) == 0) {
+                Relay.Known known = new Relay.Known(endpoint(), pick(0, 900), pick(0.001, 0.01, 1), pick(1, 500), 1,
+                        0.01, pick(0, 0.02), 0.01, 0.01, 100, 20, 400);
+                Relay.Memory memory = new Relay.Memory(List.of(known), List.of(9000.0, 10.0), List.of(50.0),
+                        List.of(9990.0, 20.0));
+                both(r -> r.recalled(now, memory));
+            }
+        }
+
+        private void both(java.util.function.Consumer<Relay> event) {
+            event.accept(walk);
+            event.accept(logic);
+            compare();
+        }
+
+        private void compare() {
+            assertEquals(wanted.done, asked.done);
+            count += asked.done.size();
+            for (Action action : asked.done) {
+                if (action.kind().equals("send")) {
+                    int number = attempts.get((int) action.id());
+                    attempts.set((int) action.id(), number + 1);
+                    out.add(new Out(action.id(), number, now));
+                }
+            }
+            asked.done.clear();
+            wanted.done.clear();
+        }
+
+        private void turn() {
+            both(r -> r.endTurn(now));
+            assertEquals(walk.standing(), logic.standing());
+        }
+
+        /** To a wake of either, or at random; where time alone makes the reference act, the module asked for it. */
+        private void advance() {
+            double wake = Math.min(asked.wake, wanted.wake);
+            int way = random.nextInt(3);
+            double next = now + Math.pow(10, -1 + 4 * random.nextDouble()) * random.nextDouble();
+            next = grain > 0 ? Math.round(next / grain) * grain : next;
+            if (way > 0 && wake > now && wake < now + 60_000 && (way == 1 || wake < next)) {
+                next = wake;
+            }
+            boolean alone = next == wanted.wake && next < asked.wake;
+            now = Math.max(now, next);
+            if (alone) {
+                walk.endTurn(now);
+                // A call may be called off, or a call begin, in whatever turn comes by; only these wakes are checked.
+                assertTrue(wanted.done.stream().allMatch(a -> a.kind().equals("cancel") || a.id() == 0
+                        || a.kind().startsWith("remember")), "no wake for " + wanted.done + " until " + asked.wake);
+                logic.endTurn(now);
+                compare();
+            }
+        }
+
+        private void event() {
+            int kind = random.nextInt(100);
+            if (kind < pace / 2) {
+                message();
+            } else if (kind < 45) {
+                answer();
+            } else if (kind < 47) {
+                resume();
+            } else if (kind < 50) {
+                list(random.nextInt(4) == 0);
+            } else if (kind < 52) {
+                long endpoint = endpoint();
+                double wait = pick(1, 40, 700, 4000);
+                both(r -> r.waitTold(now, endpoint, wait));
+            } else if (kind < 54 && !attempts.isEmpty()) {
+                long message = random.nextInt(attempts.size());
+                both(r -> r.withdrawn(now, message));
+            } else if (kind == 54 && random.nextInt(40) == 0) {
+                double end = now + pick(500, 3000);
+                both(r -> r.closing(now, end));
+            } else if (kind == 55) {
+                both(r -> r.wake(now));
+            } else if (kind == 56) {
+                assertEquals(recent(walk.memory(now)), recent(logic.memory(now)));
+            } else {
+                answer();
+            }
+        }
+
+        /** Sends that no longer count are forgotten at the next occasion, which comes more often in the walk. */
+        private static Relay.Memory recent(Relay.Memory memory) {
+            return new Relay.Memory(memory.endpoints(), recent(memory.firstSendsAgo()), recent(memory.copiesAgo()),
+                    recent(memory.retriesAgo()));
+        }
+
+        private static List<Double> recent(List<Double> ago) {
+            return ago.stream().filter(a -> a <= 10_000).toList();
+        }
+
+        private Relay.Message newMessage() {
+            int type = random.nextInt(settings.classes().size());
+            double left = settings.classes().get(type).deadlineMs();
+            left *= random.nextInt(5) == 0 ? random.nextDouble() : 1;
+            left = random.nextInt(30) == 0 ? pick(-1, 0, 4, 5, 6) : left;
+            Optional<String> key = random.nextBoolean() ? Optional.of("k" + random.nextInt(3)) : Optional.empty();
+            attempts.add(0);
+            return new Relay.Message(attempts.size() - 1, type, 0, key,
+                    grain > 0 ? Math.round(left / grain) * grain : left, random.nextInt(destinations));
+        }
+
+        private void message() {
+            Relay.Message message = newMessage();
+            both(r -> r.message(now, message));
+        }
+
+        private void resume() {
+            Relay.Message message = newMessage();
+            List<Relay.EarlierAttempt> earlier = new ArrayList<>();
+            boolean stillOut = random.nextInt(3) == 0;
+            for (int i = random.nextInt(3); i > 0; i--) {
+                boolean mayHaveRun = random.nextBoolean();
+                if (stillOut) {
+                    out.add(new Out(message.id(), earlier.size(), now));
+                }
+                earlier.add(new Relay.EarlierAttempt(message.destination() * 10 + random.nextInt(4),
+                        now - pick(1, 200, 900), mayHaveRun,
+                        stillOut ? OptionalLong.of(calls += random.nextInt(2)) : OptionalLong.empty()));
+            }
+            attempts.set((int) message.id(), earlier.size());
+            both(r -> r.resumed(now, message, earlier));
+        }
+
+        private void answer() {
+            if (out.isEmpty()) {
+                return;
+            }
+            Out ended = out.remove(random.nextInt(out.size()));
+            Outcome outcome = random.nextDouble() < trouble
+                    ? Outcome.values()[random.nextInt(Outcome.values().length)] : Outcome.DELIVERED;
+            boolean finished = outcome == Outcome.DELIVERED || outcome == Outcome.ERROR && random.nextInt(5) == 0;
+            double wait = outcome == Outcome.FULL ? pick(0, 20, 300, 3000) : 0;
+            Relay.Report report = random.nextInt(3) > 0 ? Relay.Report.NONE
+                    : new Relay.Report(pick(2, 50), random.nextDouble());
+            Relay.AttemptEnd end = new Relay.AttemptEnd(ended.message(), ended.attempt(), outcome,
+                    now - ended.sentAt(), finished, wait, report);
+            both(r -> r.attemptEnded(now, end));
+        }
+
+        private long endpoint() {
+            return random.nextInt(destinations) * 10 + random.nextInt(4);
+        }
+
+        private void list(boolean whole) {
+            List<Relay.Endpoint> entries = new ArrayList<>();
+            for (int i = whole ? 3 * destinations : 1 + random.nextInt(2); i > 0; i--) {
+                long id = endpoint();
+                int kind = (int) (id / 10 % 3);
+                entries.add(new Relay.Endpoint(id, id / 10, kind, (int) (id % 2), random.nextInt(5) > 0,
+                        pick(0, 20, 400), random.nextInt(8) == 0));
+            }
+            both(r -> r.endpoints(now, whole, entries));
+        }
+
+        /** Everything ends, at once or in its time: nothing that was a message is left anywhere in the module. */
+        private void end() {
+            boolean atOnce = random.nextBoolean();
+            for (int i = 0; i < attempts.size() && atOnce; i++) {
+                long message = i;
+                both(r -> r.withdrawn(now, message));
+            }
+            for (int i = 0; i < 100 && !atOnce; i++) {
+                answerAll();
+                turn();
+                now += 500;
+            }
+            answerAll();
+            assertEquals(List.of(), reachable(logic).stream().map(o -> o.getClass().getName())
+                    .filter(name -> name.matches(".*\\$(Delivery|Attempt|Group)")).toList());
+            now += 60_000;
+            turn();
+            assertEquals(0, logic.lines.size(), "lines of keys");
+        }
+
+        private void answerAll() {
+            while (!out.isEmpty()) {
+                answer();
+            }
+        }
+    }
+
+    /** All objects of this package that can be reached from one, also through collections, arrays and lambdas. */
+    private static Set<Object> reachable(Object from) {
+        Set<Object> seen = Collections.newSetFromMap(new IdentityHashMap<>());
+        Deque<Object> next = new ArrayDeque<>(List.of(from));
+        while (!next.isEmpty()) {
+            Object o = next.remove();
+            if (!seen.add(o)) {
+                continue;
+            }
+            if (o instanceof Collection<?> c) {
+                c.stream().filter(e -> e != null).forEach(next::add);
+            } else if (o instanceof Map<?, ?> m) {
+                next.addAll(m.values());
+            } else if (o instanceof Optional<?> present) {
+                present.ifPresent(next::add);
+            } else if (o instanceof Object[] array) {
+                for (int i = 0; i < Array.getLength(array); i++) {
+                    Optional.ofNullable(array[i]).ifPresent(next::add);
+                }
+            } else if (o.getClass().getName().startsWith("kestreldeal.")) {
+                for (Class<?> c = o.getClass(); c != Object.class; c = c.getSuperclass()) {
+                    for (Field field : c.getDeclaredFields()) {
+                        follow(field, o, next);
+                    }
+                }
+            }
+        }
+        return seen;
+    }
+
+    private static void follow(Field field, Object of, Deque<Object> next) {
+        if (Modifier.isStatic(field.getModifiers()) || field.getType().isPrimitive()) {
+            return;
+        }
+        field.setAccessible(true);
+        try {
+            Object value = field.get(of);
+            if (value != null && !(value instanceof Recorder) && !(value instanceof Enum)) {
+                next.add(value);
+            }
+        } catch (IllegalAccessException e) {
+            throw new AssertionError(e);
+        }
+    }
+}
