--- a/src/main/java/kestreldeal/DueQueue.java
+++ b/src/main/java/kestreldeal/DueQueue.java
@@ -61,6 +61,16 @@
         }
     }
 
+    /** Takes these entries out; null is one that was never made. */
+    @SafeVarargs
+    final void removeAll(E... entries) {
+        for (E entry : entries) {
+            if (entry != null) {
+                remove(entry);
+            }
+        }
+    }
+
     /** The time of the first entry; infinite if there is none. */
     final double nextAt() {
         return size == 0 ? Double.POSITIVE_INFINITY : heap[0].at;
--- a/src/main/java/kestreldeal/KeyLines.java
+++ b/src/main/java/kestreldeal/KeyLines.java
@@ -64,13 +64,19 @@
             due();
         }
 
-        /** Whether an element may go now of which itself so many are out. */
-        boolean lets(E element, int ownOut, double now) {
-            return first() == element && out == ownOut && restUntil <= now;
+        /** The first that waits, or null. */
+        E first() {
+            return waiting.isEmpty() ? null : waiting.iterator().next();
         }
 
-        private E first() {
-            return waiting.isEmpty() ? null : waiting.iterator().next();
+        /** How much is out, of whatever in the line. */
+        int out() {
+            return out;
+        }
+
+        /** Until when nothing may go. */
+        double restUntil() {
+            return restUntil;
         }
 
         /** It has changed, or has rested. */
--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
@@ -15,7 +14,6 @@
 import java.util.function.Consumer;
 import java.util.stream.DoubleStream;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import kestreldeal.Lanes.Group;
 import kestreldeal.Timers.Timer;
 
@@ -120,6 +118,8 @@
     private static final double TRIAL_MOST = 4;
     /** Share of the rule's budget that the ramp of a returning endpoint uses; the rest is for chance. */
     private static final double RAMP_SAFETY = 0.7;
+    /** Time over which a carried rate is averaged, and the shortest that counts. */
+    private static final Rate.Span CARRIED = new Rate.Span(10_000, 2000);
     /** Share of the messages taken for a destination that it is trusted to carry, if it was not seen to. */
     private static final double DEMAND_SHARE = 0.7;
 
@@ -460,7 +460,7 @@
     }
 
     private boolean mayGoInOrder(Delivery d) {
-        return d.line.map(line -> line.lets(d, d.out, clock)).orElse(true);
+        return d.line.map(l -> l.first() == d && l.out() == d.out && l.restUntil() <= clock).orElse(true);
     }
 
     /**
@@ -607,7 +607,7 @@
         }
         d.ended = true;
         waiting.remove(d);
-        Stream.of(d, d.window, d.pause).filter(Objects::nonNull).forEach(timers::remove);
+        timers.removeAll(d, d.window, d.pause);
         d.line.ifPresent(line -> line.remove(d));
         for (int i = 0; i < d.attempts.size(); i++) {
             if (d.attempts.get(i).out && settings.cancels()) {
@@ -827,8 +827,9 @@
     private final class Destination extends Lanes.Owner<Delivery> {
         final List<Target> targets = new ArrayList<>(2);
         final Limit shared = new Limit(this);
-        final Rate demand = new Rate(clock, asked);
+        final Rate demand = new Rate(clock, CARRIED, asked);
         int out;
+
         Destination() {
             super(waiting);
         }
@@ -860,7 +861,7 @@
 
     /** The pace and told wait of what shares one limit. Guards against refusals and broken waits. */
     private final class Limit {
-        final Rate sends = new Rate(clock);
+        final Rate sends = new Rate(clock, CARRIED);
         final Times lastSecond = new Times();
         final Destination destination;
         int pressed;
@@ -987,7 +988,7 @@
         int fruitless;
         double fruitlessSince;
         double lastGood = Double.NEGATIVE_INFINITY;
-        final Rate carried = new Rate(clock);
+        final Rate carried = new Rate(clock, CARRIED);
         double warmSince;
         double downAt;
         boolean silentOnly;
--- a/src/main/java/kestreldeal/Rate.java
+++ b/src/main/java/kestreldeal/Rate.java
@@ -2,13 +2,10 @@
 
 /** Events a millisecond over the last stretch of time in which they were watched, older ones of less weight. */
 final class Rate {
-    /** Time over which it is averaged, and the shortest that counts. */
-    private static final double PERIOD_MS = 10_000;
-    private static final double LEAST_MS = 2000;
-
     /** Whole parts of an event. */
     private static final double PARTS = 1 << 30;
 
+    private final Span span;
     private final Total total;
     private double events;
     private double over;
@@ -19,28 +16,33 @@
         private long parts;
     }
 
+    /** The time over which events are averaged, and the shortest that counts. */
+    record Span(double averagedMs, double leastMs) {
+    }
+
     /** None yet, watched from now on. */
-    Rate(double now) {
-        this(now, null);
+    Rate(double now, Span span) {
+        this(now, span, null);
     }
 
     /** One whose share in a total is asked for. */
-    Rate(double now, Total total) {
+    Rate(double now, Span span, Total total) {
         this.at = now;
+        this.span = span;
         this.total = total;
     }
 
     void count(double now) {
-        double kept = Math.exp((at - now) / PERIOD_MS);
+        double kept = Math.exp((at - now) / span.averagedMs());
         set(events * kept + 1);
-        over = over * kept + PERIOD_MS * (1 - kept);
+        over = over * kept + span.averagedMs() * (1 - kept);
         at = now;
     }
 
     /** Goes on from a rate that another process saw. */
     void recall(double perMs) {
-        set(perMs * PERIOD_MS);
-        over = PERIOD_MS;
+        set(perMs * span.averagedMs());
+        over = span.averagedMs();
     }
 
     /** The time since the last event does not count. */
@@ -66,6 +68,6 @@
     }
 
     double perMs() {
-        return events / Math.max(over, LEAST_MS);
+        return events / Math.max(over, span.leastMs());
     }
 }
