--- /dev/null
+++ b/src/test/java/kestreldeal/net/Surroundings.java
@@ -0,0 +1,159 @@
+package kestreldeal.net;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * What one sender has round it, over loopback sockets: its folder and configuration, an agent, and endpoints, each of a
+ * destination of its own, that are all one machine.
+ */
+final class Surroundings implements AutoCloseable {
+    static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    static final long DISK_BYTES = 3_000_000;
+    static final int MAX_ATTEMPTS = 12;
+
+    final Path folder;
+    final Stub endpoint;
+    final Stub agent;
+    final List<String> notices = new CopyOnWriteArrayList<>();
+    volatile String firstState = "SERVING";
+    int endpoints = 1;
+    int windowMs = 20_000;
+    int dialMs = 1000;
+    int sockets = 256;
+    int slots = 10;
+    boolean known = true;
+
+    Surroundings(Path folder, Stub endpoint) throws IOException {
+        this.folder = folder;
+        this.endpoint = endpoint;
+        this.agent = new Stub(this::answer);
+        Files.createDirectories(state());
+    }
+
+    Path state() {
+        return folder.resolve("state");
+    }
+
+    Journal journal() throws IOException {
+        return new Journal(state(), DISK_BYTES, MAX_ATTEMPTS);
+    }
+
+    /** What the journal holds, read from a copy. */
+    List<Held> journalled() {
+        try {
+            Path copy = Files.createTempDirectory(folder, "copy");
+            Files.copy(state().resolve("journal"), copy.resolve("journal"));
+            try (Journal journal = new Journal(copy, DISK_BYTES, MAX_ATTEMPTS)) {
+                return List.copyOf(journal.held());
+            }
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** The agent as it is when all is well; a watch without news is not answered. */
+    void answer(Stub.Message request, Socket socket) throws IOException {
+        if (request.line().startsWith("POST")) {
+            notices.addAll(List.of(request.body().trim().split("\n")));
+            Stub.write(socket, "HTTP/1.1 204 x\r\n\r\n");
+        } else if (!request.line().contains("after=" + generation())) {
+            String list = list();
+            Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+        }
+    }
+
+    int generation() {
+        return 1000 + Math.abs(firstState.hashCode() % 1000);
+    }
+
+    String list() {
+        List<String> entries = new ArrayList<>();
+        for (int i = 0; i < endpoints; i++) {
+            entries.add("{\"instanceId\":\"s-" + i + "\",\"hostPort\":\"" + endpoint.hostPort()
+                    + "\",\"zone\":\"a\",\"machineType\":\"m\",\"cell\":" + i + ",\"lifecycle\":\""
+                    + (i == 0 ? firstState : "SERVING") + "\",\"weight\":1.0,\"startedAtMs\":0}");
+        }
+        return "{\"generation\":" + generation() + ",\"reset\":true,\"instances\":[" + String.join(",", entries) + "]}";
+    }
+
+    Map<String, String> environment() throws IOException {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, """
+                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+                 "limits":{"memory_mb":192,"sockets":%d,"disk_mb":3},"known":%s,
+                 "settings":{"classes":[
+                   {"name":"order","aim_ms":8000,"give_up_ms":24000,"repeat":"keyed","window_ms":%d},
+                   {"name":"once","aim_ms":8000,"give_up_ms":24000,"repeat":"unsafe"}],
+                  "flavors":["m"],"zones":["a"],
+                  "family_info":{"workers":%d,"batch_by_kind":[1],"separate_routes":[false]},
+                  "fleet_size":1,"limits":{"most_tries":%d,"second_copies":false,"cancel":true,
+                   "dial_timeout_ms":%d,"keepalive_ms":15000},
+                  "rules":{"start_capacity":0.2,"warm_after_ms":12000,"fall_multiple":2,"fall_ms":1500}}}
+                """.formatted(agent.hostPort(), sockets, known ? list() : "null", windowMs, slots, MAX_ATTEMPTS, dialMs));
+        return Map.of("GW_CONFIG", file.toString(), "GW_STATE", state().toString());
+    }
+
+    Sender sender() throws Exception {
+        return new Sender(Config.read(environment()), false, Sender.TAKING_MS, Sender.CLOSING_MS);
+    }
+
+    /** The program as a process, under this limit of descriptors; it writes to the file {@code log}. */
+    Process process(int descriptors) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n " + descriptors + " && exec \"$0\" \"$@\"",
+                Path.of(System.getProperty("java.home"), "bin/java").toString(), "-cp",
+                System.getProperty("java.class.path"), "kestreldeal.Main", "serve", "--alone");
+        builder.environment().putAll(environment());
+        return builder.redirectErrorStream(true).redirectOutput(log().toFile()).start();
+    }
+
+    Path log() {
+        return folder.resolve("log");
+    }
+
+    /** Where the process listens, once it says so. */
+    Optional<InetSocketAddress> listening() {
+        try {
+            return Files.readAllLines(log()).stream().filter(line -> line.contains(" listens at "))
+                    .map(line -> new InetSocketAddress("127.0.0.1",
+                            Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).trim()))).findFirst();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** The status of an answer, or 0 if the connection was refused, or ended without one. */
+    static int ask(InetSocketAddress address, String request) {
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            return ask(socket, request);
+        } catch (IOException refused) {
+            return 0;
+        }
+    }
+
+    static int ask(Socket socket, String request) throws IOException {
+        Stub.write(socket, request);
+        Stub.Message answer = Stub.read(new BufferedInputStream(socket.getInputStream()), 0);
+        return answer == null ? 0 : Integer.parseInt(answer.line().split(" ")[1]);
+    }
+
+    static String message(String id, String messageClass, long destination, String body) {
+        return "POST /" + messageClass + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Call-Class: "
+                + messageClass + "\r\nX-Budget-Ms: 24000\r\nIdempotency-Key: key-" + id + "\r\nX-Envelope: dest="
+                + destination + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    @Override
+    public void close() throws IOException {
+        agent.close();
+    }
+}
