--- a/src/main/java/kestreldeal/net/Connector.java
+++ b/src/main/java/kestreldeal/net/Connector.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -40,13 +41,19 @@
 
     /** Tells of the open connection, or of none. */
     void connect(InetSocketAddress address, Consumer<Optional<Channel>> then) {
+        connect(address, then, () -> then.accept(Optional.empty()));
+    }
+
+    /** The same, and tells apart that no channel could be made here, which says nothing of that address. */
+    void connect(InetSocketAddress address, Consumer<Optional<Channel>> then, Runnable notTried) {
         ChannelFuture connecting = bootstrap.connect(address);
         connecting.addListener(f -> {
             Optional<Channel> open = f.isSuccess() ? Optional.of(connecting.channel()) : Optional.empty();
+            Runnable tell = f.cause() instanceof ChannelException ? notTried : () -> then.accept(open);
             if (loop.inEventLoop()) {
-                then.accept(open);
+                tell.run();
             } else {
-                loop.execute(() -> then.accept(open));
+                loop.execute(tell);
             }
         });
     }
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -3,11 +3,13 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -96,6 +98,12 @@
     private long posts;
 
     Endpoints(EventLoop loop, double dialMs, double keepAliveMs, int mostIdle, Ends ends) {
+        this(loop, dialMs, keepAliveMs, mostIdle, ends, NioSocketChannel::new);
+    }
+
+    /** The same with a way of its own to make a channel, which may fail. */
+    Endpoints(EventLoop loop, double dialMs, double keepAliveMs, int mostIdle, Ends ends,
+            ChannelFactory<NioSocketChannel> channels) {
         this.loop = loop;
         this.ends = ends;
         this.idleNanos = (long) (keepAliveMs * IDLE_SHARE * 1e6);
@@ -104,7 +112,7 @@
             Connection connection = new Connection(channel);
             channel.pipeline().addLast(new HeadLines(connection), connection.answers, new HttpRequestEncoder(),
                     connection);
-        });
+        }, channels);
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -360,7 +368,9 @@
                 write(kept);
             } else {
                 InetSocketAddress dialled = peer.address;
-                connector.connect(dialled, channel -> connected(channel, dialled));
+                // With no descriptor left here nothing is known of the endpoint: it must not count as down.
+                connector.connect(dialled, channel -> connected(channel, dialled),
+                        () -> endAll(Outcome.NOT_SENT));
             }
         }
 
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -79,6 +79,8 @@
     private static final long SWEEP_MS = 200;
     /** Reads of one connection before the next one's turn. */
     private static final int READS = 16;
+    /** Descriptors that clients leave free once they were seen to hold the last one, and clients that stay at least. */
+    private static final int SPARE = 32;
 
     /** What a request asks to be delivered. */
     record Submission(String id, String messageClass, String tenant, Optional<String> key, long destination,
@@ -145,6 +147,7 @@
         }
         bootstrap = new ServerBootstrap().group(loop, loop)
                 .channel(NioServerSocketChannel.class)
+                .handler(new Listener())
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
@@ -221,6 +224,33 @@
         return clients.values().stream().mapToInt(Set::size).sum();
     }
 
+    /**
+     * The last descriptor is a client's: calls, the agent and the journal have none left. The bound was too high for
+     * what this process holds beside its clients, so it is lower from now on.
+     *
+     * @return whether any client could be sent away without breaking off a request
+     */
+    private boolean leaveSpare() {
+        mostClients = Math.max(SPARE, clients() - SPARE);
+        List<Client> idle = clients.entrySet().stream().filter(e -> e.getKey() != State.ASKING)
+                .flatMap(e -> e.getValue().stream()).limit(SPARE).toList();
+        idle.forEach(Client::makeRoom);
+        Log.line("no descriptor is left; " + idle.size() + " idle clients are sent away, " + mostClients
+                + " may stay from now on");
+        return !idle.isEmpty();
+    }
+
+    /** The listener's own side: told where a connection can't be accepted. */
+    private final class Listener extends ChannelInboundHandlerAdapter {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // Else Netty stops accepting for a second, lest the loop spin.
+            if (!(cause instanceof IOException) || !leaveSpare()) {
+                ctx.fireExceptionCaught(cause);
+            }
+        }
+    }
+
     private void sweep() {
         long now = System.nanoTime();
         clients.forEach((state, members) -> {
