Keep the windows of repeats by the process's own clock, and past a wall clock set back

Cause: a write was checked against the window by the wall clock, so a clock set back in mid-life made the window longer; and an attempt that lay in the future of a restart's wall clock counted as made just now, though nobody knows how long ago it was.

HeldTest passes such times instead of wall times, with the same figures.

Measured: RepeatWindowTest with a window of 1 s (2 s where the connection comes up late): a restart that takes longer than the window, a late connect, an attempt past it, a clock set back. Seen to fail without the age told to the module, without the check at the write, and with a future attempt taken for new.

--- a/src/main/java/kestreldeal/net/Held.java
+++ b/src/main/java/kestreldeal/net/Held.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A message that this sender has taken on, with all that its journal must know of it: who may send it again,
@@ -35,16 +36,36 @@
     static final class Attempt {
         /** The journal has no record of it. */
         static final int UNRECORDED = -1;
+        /** Longer than any window. */
+        private static final long ANY_AGE_MS = TimeUnit.DAYS.toMillis(365);
 
         final String endpoint;
+        /** Wall time, for the journal. */
         final long sentAtMs;
+        /**
+         * The same on this life's own clock, by which windows are kept: a wall clock that is set back would make them
+         * longer.
+         */
+        final long sentNanos;
         boolean neverRan;
         /** Its place among the records of the message's attempts: one that could not be written leaves no gap. */
         int record = UNRECORDED;
 
+        /** One made at this wall time, now or in an earlier life. */
         Attempt(String endpoint, long sentAtMs) {
+            this(endpoint, sentAtMs, sentNanos(sentAtMs));
+        }
+
+        Attempt(String endpoint, long sentAtMs, long sentNanos) {
             this.endpoint = endpoint;
             this.sentAtMs = sentAtMs;
+            this.sentNanos = sentNanos;
+        }
+
+        /** One from the future tells that the wall clock was set back: it may be of any age, so it is past any window. */
+        private static long sentNanos(long sentAtMs) {
+            long ageMs = System.currentTimeMillis() - sentAtMs;
+            return System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(ageMs < 0 ? ANY_AGE_MS : ageMs);
         }
     }
 
@@ -52,9 +73,9 @@
      * Whether this attempt, written now, is inside the window of all others that may have run: also of a later one,
      * which may have overtaken it while it waited for its connection.
      */
-    boolean isInWindow(int attempt, long nowMs, double windowMs) {
+    boolean isInWindow(int attempt, long nowNanos, double windowMs) {
         Attempt own = attempts.get(attempt);
-        return attempts.stream().allMatch(a -> a == own || a.neverRan || nowMs <= a.sentAtMs + windowMs);
+        return attempts.stream().allMatch(a -> a == own || a.neverRan || nowNanos - a.sentNanos <= windowMs * 1e6);
     }
 
     /** The end that the platform must still hear of. */
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -248,8 +248,7 @@
             double now = openTurn();
             List<Relay.EarlierAttempt> earlier = new ArrayList<>();
             for (Held.Attempt a : held.attempts) {
-                // A wall clock that was set back must not move a send into the future.
-                double sentAt = now - Math.max(0, wall - a.sentAtMs);
+                double sentAt = Math.min(now, (a.sentNanos - startNanos) / 1e6);
                 Out out = new Out(held.number, earlier.size());
                 OptionalLong call = outBefore.containsKey(out) ? OptionalLong.of(outBefore.get(out))
                         : OptionalLong.empty();
@@ -448,7 +447,7 @@
             Relay.MessageClass type = config.settings().classes()
                     .get(config.classes().indexOf(call.held.messageClass));
             return type.effect() != Relay.Effect.KEYED || call.held.isInWindow(call.attempt,
-                    System.currentTimeMillis(), type.windowMs() - WRITTEN_MARGIN_MS);
+                    System.nanoTime(), type.windowMs() - WRITTEN_MARGIN_MS);
         }
     }
 
--- a/src/test/java/kestreldeal/net/HeldTest.java
+++ b/src/test/java/kestreldeal/net/HeldTest.java
@@ -4,33 +4,38 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 class HeldTest {
     private final Held held = new Held(1, "id", "order", "t", Optional.of("key"), 7, 20_000, new byte[0]);
 
     private Held.Attempt sent(long atMs) {
-        Held.Attempt attempt = new Held.Attempt("e", atMs);
+        Held.Attempt attempt = new Held.Attempt("e", 0, TimeUnit.MILLISECONDS.toNanos(atMs));
         held.attempts.add(attempt);
         return attempt;
     }
 
+    private boolean isInWindow(int attempt, long nowMs, double windowMs) {
+        return held.isInWindow(attempt, TimeUnit.MILLISECONDS.toNanos(nowMs), windowMs);
+    }
+
     @Test
     void aRepeatIsInTheWindowOfTheFirstAttemptThatMayHaveRun() {
         Held.Attempt first = sent(1000);
         sent(3000);
         sent(5000);
-        assertTrue(held.isInWindow(2, 6000, 5000));
-        assertFalse(held.isInWindow(2, 6001, 5000));
+        assertTrue(isInWindow(2, 6000, 5000));
+        assertFalse(isInWindow(2, 6001, 5000));
         first.neverRan = true;
-        assertTrue(held.isInWindow(2, 8000, 5000));
-        assertFalse(held.isInWindow(2, 8001, 5000));
+        assertTrue(isInWindow(2, 8000, 5000));
+        assertFalse(isInWindow(2, 8001, 5000));
     }
 
     @Test
     void aFirstAttemptHasNoWindow() {
         sent(1000);
-        assertTrue(held.isInWindow(0, 60_000, 5000));
+        assertTrue(isInWindow(0, 60_000, 5000));
     }
 
     /** A first attempt whose connection comes up late may be overtaken by its copy. */
@@ -38,9 +43,25 @@
     void anAttemptThatWasOvertakenIsARepeatItself() {
         sent(1000);
         Held.Attempt copy = sent(2000);
-        assertTrue(held.isInWindow(0, 7000, 5000));
-        assertFalse(held.isInWindow(0, 7001, 5000));
+        assertTrue(isInWindow(0, 7000, 5000));
+        assertFalse(isInWindow(0, 7001, 5000));
         copy.neverRan = true;
-        assertTrue(held.isInWindow(0, 7001, 5000));
+        assertTrue(isInWindow(0, 7001, 5000));
+    }
+
+    /** Nobody knows how long ago it was sent. */
+    @Test
+    void anAttemptFromTheFutureIsPastAnyWindow() {
+        held.attempts.add(new Held.Attempt("e", System.currentTimeMillis() + 5000));
+        sent(0);
+        assertFalse(held.isInWindow(1, System.nanoTime(), TimeUnit.DAYS.toMillis(1)));
+    }
+
+    @Test
+    void anAttemptOfAnEarlierLifeHasTheAgeThatTheWallClockTells() {
+        held.attempts.add(new Held.Attempt("e", System.currentTimeMillis() - 60_000));
+        sent(0);
+        assertFalse(held.isInWindow(1, System.nanoTime(), 60_000 - 1));
+        assertTrue(held.isInWindow(1, System.nanoTime(), 120_000));
     }
 }
--- /dev/null
+++ b/src/test/java/kestreldeal/net/RepeatWindowTest.java
@@ -0,0 +1,131 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A keyed attempt that may have run before the process ended, where repeats are dropped for a second only. */
+class RepeatWindowTest {
+    private static final int WINDOW_MS = 1000;
+
+    @TempDir
+    private Path folder;
+    private Stub endpoint;
+    private Surroundings world;
+    private Sender sender;
+
+    private void open(Stub at) throws Exception {
+        endpoint = at;
+        world = new Surroundings(folder, at);
+        world.windowMs = WINDOW_MS;
+        world.agent.script(this::agent);
+    }
+
+    /** It does not answer a notice, so that the journal holds its message on. */
+    private void agent(Stub.Message request, Socket socket) throws IOException {
+        if (request.line().startsWith("POST")) {
+            world.notices.add(request.body());
+        } else {
+            world.answer(request, socket);
+        }
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        if (sender != null) {
+            sender.kill();
+        }
+        world.close();
+        endpoint.close();
+    }
+
+    /** Leaves a message with one attempt that was out, made so long ago by the wall clock; returns when. */
+    private long leave(long agoMs) throws Exception {
+        try (Journal journal = world.journal()) {
+            long wall = System.currentTimeMillis();
+            Held held = new Held(journal.nextNumber(), "old", "order", "", Optional.of("key-old"), 0, wall + 20_000,
+                    new byte[0]);
+            journal.taken(held);
+            journal.attempt(held, new Held.Attempt("s-0", wall - agoMs));
+            return wall - agoMs;
+        }
+    }
+
+    private void start() throws Exception {
+        sender = world.sender();
+        sender.start();
+    }
+
+    /** With so many attempts in all, of which none was written in this life. */
+    private void awaitRefused(int attempts) throws Exception {
+        Stub.await("the notice", () -> !world.notices.isEmpty());
+        assertTrue(world.notices.get(0).contains("bounced"), world.notices.toString());
+        assertEquals(List.of(attempts), world.journalled().stream().map(held -> held.attempts.size()).toList());
+        assertEquals(List.of(), endpoint.requests);
+    }
+
+    @Test
+    void itIsRepeatedInsideTheWindow() throws Exception {
+        open(new Stub(Stub.status(200, "")));
+        world.windowMs = 20_000;
+        leave(100);
+        start();
+        Stub.await("the repeat", () -> endpoint.requests.size() == 1);
+        assertEquals("old", endpoint.requests.get(0).header("X-Call-Id"));
+    }
+
+    @Test
+    void itIsNotRepeatedPastTheWindow() throws Exception {
+        open(new Stub(Stub.status(200, "")));
+        leave(WINDOW_MS + 1);
+        start();
+        awaitRefused(1);
+    }
+
+    /** The agent answers only when the window is over, and without a list nothing can be sent before. */
+    @Test
+    void itIsNotRepeatedWhereTheRestartTakesLongerThanTheWindow() throws Exception {
+        open(new Stub(Stub.status(200, "")));
+        world.known = false;
+        long sentAt = leave(0);
+        world.agent.script((request, socket) -> {
+            Stub.await("the window's end", () -> System.currentTimeMillis() > sentAt + WINDOW_MS);
+            world.agent.script(this::agent);
+            socket.close();
+        });
+        start();
+        awaitRefused(1);
+    }
+
+    /** Decided inside the window; its connection comes up behind it. */
+    @Test
+    void itIsNotWrittenLate() throws Exception {
+        open(Stub.busy(Stub.status(200, "")));
+        world.dialMs = 20_000;
+        world.windowMs = 2 * WINDOW_MS;
+        long sentAt = leave(0);
+        start();
+        Stub.await("it is decided", () -> world.journalled().stream().anyMatch(held -> held.attempts.size() == 2));
+        Stub.await("the window's end", () -> System.currentTimeMillis() > sentAt + 2 * WINDOW_MS);
+        endpoint.accepts();
+        awaitRefused(2);
+    }
+
+    /** By the wall clock it is still to be made: how long ago it was nobody knows. */
+    @Test
+    void itIsNotRepeatedWhereTheWallClockWasSetBack() throws Exception {
+        open(new Stub(Stub.status(200, "")));
+        world.windowMs = 20_000;
+        leave(-5000);
+        start();
+        awaitRefused(1);
+    }
+}
