--- /dev/null
+++ b/src/test/java/kestreldeal/ColdReturnFleetTest.java
@@ -0,0 +1,102 @@
+package kestreldeal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import kestreldeal.ColdFleet.Outage;
+import kestreldeal.ColdFleet.Plan;
+import kestreldeal.ColdFleet.Rates;
+import kestreldeal.ColdFleet.Worst;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The rule on a cold return, for the sum of all senders: no window of the rule's length gets more than N + 2 x root of
+ * N + 2 calls. All calls count, also those of senders that had seen nothing of the outage.
+ */
+class ColdReturnFleetTest {
+    private static final double[] CAPACITIES = {5, 20, 80, 300};
+
+    /** The rule is broken at the first fall of which more than this came from senders that knew of the outage. */
+    private static final double TOLD_SHARE = 2.0 / 3;
+
+    private static void holds(List<Plan> plans) {
+        holds(plans, 0);
+    }
+
+    /** Plays each, prints its worst window, and fails with all that were over with so great a part told. */
+    private static void holds(List<Plan> plans, double toldShare) {
+        List<String> over = new ArrayList<>();
+        for (Plan plan : plans) {
+            ColdFleet fleet = new ColdFleet(plan).run();
+            Worst worst = fleet.worst();
+            String line = String.format(Locale.ROOT, "%s: %.1f of %.1f calls (N %.1f) from %.0f ms on, %.2f told; "
+                    + "delivered %d, %d since the return", plan, worst.calls(), worst.allowed(), worst.budget(),
+                    worst.from(), worst.toldShare(), fleet.delivered(), fleet.deliveredCold());
+            System.out.println(line);
+            if (worst.over() > 0 && worst.toldShare() >= toldShare) {
+                over.add(line);
+            }
+            assertTrue(fleet.deliveredCold() > 0, "nothing was delivered after the return: " + line);
+        }
+        assertEquals(List.of(), over);
+    }
+
+    private static List<Plan> thirty(boolean restart) {
+        List<Plan> plans = new ArrayList<>();
+        for (double capacity : CAPACITIES) {
+            for (Rates rates : Rates.values()) {
+                for (Outage outage : Outage.values()) {
+                    plans.add(new Plan(30, capacity, rates, outage, restart));
+                }
+            }
+        }
+        return plans;
+    }
+
+    @Test
+    void thirtySendersStayWithinTheBudgetOfOneDestination() {
+        holds(thirty(false));
+    }
+
+    /** Seven in ten end in the middle of the outage and come back with what their journals hold. */
+    @Test
+    void soTheyDoWhereMostAreRestartedInTheOutage() {
+        holds(thirty(true));
+    }
+
+    /** What joins a call, and what goes to one of several endpoints, counts for the destination as a whole. */
+    @Test
+    void callsOfSeveralMessagesAndSeveralEndpointsStayWithinIt() {
+        List<Plan> plans = new ArrayList<>();
+        for (Outage outage : Outage.values()) {
+            plans.add(new Plan(30, 60, 0.8, Rates.LISTED, outage, true, 5, 1, 2));
+            plans.add(new Plan(30, 60, 0.8, Rates.TOLD, outage, false, 1, 3, 3));
+            plans.add(new Plan(30, 60, 1.2, Rates.NONE, outage, true, 5, 3, 4));
+            plans.add(new Plan(30, 10, 0.8, Rates.LISTED, outage, false, 1, 4, 5));
+        }
+        holds(plans);
+    }
+
+    @Test
+    void fleetsOfEverySizeStayWithinIt() {
+        holds(sizes(1, 2, 30, 100));
+    }
+
+    /** Of so many most had no message for it in the whole outage, and nobody tells them: by the rule they don't count. */
+    @Test
+    void largeFleetsBreakNoRule() {
+        holds(sizes(1024, 5800), TOLD_SHARE);
+    }
+
+    private static List<Plan> sizes(int... all) {
+        List<Plan> plans = new ArrayList<>();
+        for (int senders : all) {
+            plans.add(new Plan(senders, 100, Rates.LISTED, Outage.FAILS, senders < 1000));
+            plans.add(new Plan(senders, 100, Rates.NONE, Outage.REFUSES, senders < 1000));
+        }
+        return plans;
+    }
+}
