End an outage by a late answer only where that took less than an outage

Cause: after a hang the answer of a call that was out since before the endpoint counted as silent took it up at once, past the ramp of a cold return (Target.good).

Seen in ColdReturnFleetTest.soTheyDoWhereMostAreRestartedInTheOutage: 20 calls where 17.0 are allowed (capacity 5, told rates, hangs); red without this line, green with it.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -1176,7 +1176,7 @@
             latency += LATENCY_WEIGHT * (end.tookMs() - latency);
             if (state == State.UP) {
                 carried.count(clock);
-            } else if (state == State.DOWN && silentOnly && call.sentAt < downAt) {
+            } else if (state == State.DOWN && silentOnly && call.sentAt < downAt && end.tookMs() < SHUT_MS) {
                 up("was slow, not silent");
             } else if (state == State.DOWN && blip) {
                 up("was not out");
