Read the list of endpoints as it comes, and name what ends an answer

Cause: an answer was collected whole under a bound of 4 MiB and given 500 ms in all, and going over either was told as "does not answer", so a list of 20,000 endpoints was never read.

So it does not matter where `reset` stands, and an answer that breaks off drops nothing, nor is its generation taken over. The known list is read from the configuration's file in the same way, and is not kept as a tree.

By change: names, numbers and who is gone moved to Directory, which walks only what is forgotten; idle connections are swept where there are any, not at every listed endpoint, whose queue is made with the first. What is listed beyond what the heap has room for is passed over, with a line that names the bound.

--- a/src/main/java/kestreldeal/net/Config.java
+++ b/src/main/java/kestreldeal/net/Config.java
@@ -1,8 +1,11 @@
 package kestreldeal.net;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -26,12 +29,15 @@
               InetSocketAddress discovery, Path state, long seed,
               int sockets, long diskBytes, Relay.Settings settings, List<String> classes,
               List<String> tenants, List<String> kinds, List<String> zones, int maxOpen, double dialMs,
-              Optional<JsonNode> known) {
+              Path file) {
+    /** Where the file holds the list of endpoints that was known when it was written; it is read where it is used. */
+    static final String KNOWN = "known";
     /** The journal is read in one piece at the start and files count as memory: more is never used. */
     private static final double MOST_DISK_MB = 12;
 
     static Config read(Map<String, String> env) throws IOException, BadInput {
-        JsonNode json = json(Path.of(required(env, "GW_CONFIG")));
+        Path file = Path.of(required(env, "GW_CONFIG"));
+        JsonNode json = json(file);
         Map<String, String> values = new HashMap<>();
         flatten("", json.path("settings"), values);
         Params settings = new Params(values);
@@ -56,13 +62,25 @@
                 values.containsKey("limits.max_open") ? (int) settings.atLeastOne("limits.max_open")
                         : Integer.MAX_VALUE,
                 settings.numberOr("limits.dial_timeout_ms", 1000),
-                json.path("known").path("instances").isArray()
-                        ? Optional.of(json.path("known")) : Optional.empty());
+                file);
     }
 
+    /** All but the known list, which may be far longer than all else, and would stay in memory with it. */
     private static JsonNode json(Path file) throws IOException, BadInput {
-        try {
-            return JsonMapper.builder().build().readTree(Files.readAllBytes(file));
+        JsonMapper mapper = JsonMapper.builder().build();
+        ObjectNode json = mapper.createObjectNode();
+        try (JsonParser parser = mapper.createParser(Files.newInputStream(file))) {
+            parser.nextToken();
+            while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                String name = parser.currentName();
+                parser.nextToken();
+                if (name.equals(KNOWN)) {
+                    parser.skipChildren();
+                } else {
+                    json.set(name, mapper.<JsonNode>readTree(parser));
+                }
+            }
+            return json;
         } catch (JsonProcessingException e) {
             // Its own message has several lines.
             throw new BadInput(file + " is not JSON: " + e.getOriginalMessage());
--- a/src/main/java/kestreldeal/net/Discovery.java
+++ b/src/main/java/kestreldeal/net/Discovery.java
@@ -1,23 +1,18 @@
 package kestreldeal.net;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-import io.netty.buffer.ByteBufInputStream;
+import com.fasterxml.jackson.core.exc.StreamConstraintsException;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import kestreldeal.BadInput;
 
 /**
  * The list of endpoints: what the configuration knew, then the whole list, then a watch on what changes. It
@@ -25,16 +20,16 @@
  */
 final class Discovery {
     /** A change counts as told 2 s after the end of a call's wait, so the wait is short. */
-    private static final long WAIT_MS = 3000;
+    static final long WAIT_MS = 3000;
     /**
      * One that was silent is asked for what it has now: a watch that is opened into an outage may stay silent when that
      * is over, while all that the agent got at its return counts as told.
      */
-    private static final long NO_WAIT_MS = 0;
-    /** An answer that is so late will not come: the connection was cut, or discovery is down. */
-    private static final long SILENT_MS = 500;
+    static final long NO_WAIT_MS = 0;
+    /** An answer that has not begun so late will not come: the connection was cut, or discovery is down. */
+    static final long SILENT_MS = 500;
     /** A watch goes on if its next call comes within 200 ms. */
-    private static final long PAUSE_MS = 100;
+    static final long PAUSE_MS = 100;
 
     /**
      * One entry of the list, by the platform's names; one that is gone comes among changes only. One whose address can't
@@ -44,9 +39,19 @@
                  boolean serving, double weight, boolean gone) {
     }
 
-    /** Told of each list, or of what changed in it. */
+    /**
+     * Told of each answer as it is read: that it begins, what it names, in portions, and that it was a list and has
+     * been read to its end. Each entry is the newest word on its endpoint, and binds alone; so one that is read of an
+     * answer that then breaks off stands, and reading it again does no harm. What a list does not name is only known
+     * at its end.
+     */
     interface Lists {
-        void listed(boolean whole, List<Entry> entries);
+        void begins();
+
+        void named(List<Entry> entries);
+
+        /** The list is in force; a whole one names all that there are. */
+        void ends(boolean whole);
 
         /** The first question has its answer, or has waited for it in vain. */
         void asked();
@@ -55,7 +60,6 @@
     private final EventLoop loop;
     private Agent agent;
     private final Lists lists;
-    private final ObjectMapper json = JsonMapper.builder().build();
     private long generation = -1;
     private boolean silent;
     private boolean asked;
@@ -68,9 +72,16 @@
         this.lists = lists;
     }
 
-    /** Takes over what the configuration knew, if anything, and asks for the rest from now on. */
-    void start(Optional<JsonNode> known) {
-        known.ifPresent(list -> take(list, true));
+    /** Takes over what this configuration knew, if anything, and asks for the rest from now on. */
+    void start(Path configuration) {
+        lists.begins();
+        try {
+            if (ListReader.read(configuration, Config.KNOWN, this::named)) {
+                lists.ends(true);
+            }
+        } catch (IOException e) {
+            Log.line("the configuration's list can't be read: " + e.getMessage());
+        }
         ask("/v1/servers", 0);
     }
 
@@ -88,11 +99,10 @@
 
     private void ask(String path, long waitMs) {
         agent.ask(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path), waitMs + SILENT_MS,
-                this::answered);
+                new Answer());
     }
 
-    private void answered(Optional<FullHttpResponse> answer) {
-        Optional<String> fault = answer.map(this::read).orElse(Optional.of("does not answer"));
+    private void answered(Optional<String> fault) {
         boolean read = fault.isEmpty();
         if (silent == read) {
             silent = !read;
@@ -119,47 +129,63 @@
         }
     }
 
-    /** Takes the list that was answered, or tells what is wrong with it. */
-    private Optional<String> read(FullHttpResponse answer) {
-        if (answer.status().code() != 200) {
-            return Optional.of("answers " + answer.status().code());
-        }
-        try (InputStream in = new ByteBufInputStream(answer.content())) {
-            JsonNode list = json.readTree(in);
-            if (!list.path("generation").isIntegralNumber() || !list.path("instances").isArray()) {
-                return Optional.of("answers what is no list");
+    /** One answer, read as it comes. Its generation is taken over at its end, so what breaks off is asked for again. */
+    private final class Answer implements Agent.Asker {
+        private int status;
+        private Optional<ListReader> reader = Optional.empty();
+
+        @Override
+        public void begins(int code) {
+            status = code;
+            if (code == 200) {
+                reader = Optional.of(new ListReader(Discovery.this::named));
+                lists.begins();
             }
-            generation = list.path("generation").asLong();
-            take(list, list.path("reset").asBoolean());
-            return Optional.empty();
-        } catch (IOException e) {
-            return Optional.of("answers what can't be read");
         }
-    }
 
-    private void take(JsonNode list, boolean whole) {
-        List<Entry> entries = new ArrayList<>();
-        for (JsonNode e : list.path("instances")) {
-            Optional<InetSocketAddress> address = address(e);
-            entries.add(new Entry(e.path("instanceId").asText(), address, e.path("zone").asText(),
-                    e.path("machineType").asText(), e.path("cell").asLong(),
-                    address.isPresent() && e.path("lifecycle").asText().equals("SERVING"),
-                    e.path("weight").asDouble(), e.path("lifecycle").asText().equals("DELETED")));
+        @Override
+        public Optional<String> piece(ByteBuf content) {
+            return reader.flatMap(list -> fault(() -> list.feed(content)));
         }
-        List<String> lost = entries.stream().filter(e -> e.address().isEmpty()).map(Entry::id).toList();
-        if (!lost.isEmpty()) {
-            Log.line("the list has no address that can be read for " + lost + "; they get nothing new");
+
+        @Override
+        public void ends(Optional<String> broken) {
+            answered(broken.or(() -> reader.isEmpty() ? Optional.of("answers " + status) : read(reader.get())));
         }
-        if (whole || !entries.isEmpty()) {
-            lists.listed(whole, entries);
+
+        private Optional<String> read(ListReader list) {
+            return fault(list::end).or(() -> {
+                if (!list.isList()) {
+                    return Optional.of("answers what is no list");
+                }
+                generation = list.generation();
+                lists.ends(list.reset());
+                return Optional.empty();
+            });
         }
     }
 
-    private static Optional<InetSocketAddress> address(JsonNode entry) {
+    private interface Reading {
+        void go() throws IOException;
+    }
+
+    /** What is wrong with what is read here. */
+    private static Optional<String> fault(Reading reading) {
         try {
-            return Optional.of(Config.address(entry.path("hostPort").asText()));
-        } catch (BadInput e) {
+            reading.go();
             return Optional.empty();
+        } catch (StreamConstraintsException e) {
+            return Optional.of("answers what is over a bound: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            return Optional.of("answers what can't be read");
+        }
+    }
+
+    private void named(List<Entry> entries) {
+        List<String> lost = entries.stream().filter(e -> e.address().isEmpty()).map(Entry::id).toList();
+        if (!lost.isEmpty()) {
+            Log.line("the list has no address that can be read for " + lost + "; they get nothing new");
         }
+        lists.named(entries);
     }
 }
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -21,6 +21,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.collection.LongObjectHashMap;
+import io.netty.util.collection.LongObjectMap;
 import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
@@ -29,9 +31,11 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -64,6 +68,8 @@
     private static final long CROSSING_MS = 100;
     /** A call is written so long at most after the sockets were last read: it has 100 ms from when a wait is told. */
     private static final long READ_MS = 50;
+    /** The idle connections of an endpoint that has none; never added to. */
+    private static final Deque<Connection> NONE = new ArrayDeque<>(0);
 
     /**
      * Told of the end of each call; {@code gone}: the message is over, whatever else is true.
@@ -90,7 +96,9 @@
     private final Connector connector;
     private final long idleNanos;
     private final int mostIdle;
-    private final Map<Long, Peer> peers = new HashMap<>();
+    private final LongObjectMap<Peer> peers = new LongObjectHashMap<>();
+    /** Those with idle connections: of all that are listed, most have none. */
+    private final Set<Peer> resting = new LinkedHashSet<>();
     private final IdleTrust trust = new IdleTrust();
     private int idle;
     private long posts;
@@ -158,13 +166,13 @@
     void closeIdle(long endpoint) {
         Peer peer = peers.get(endpoint);
         if (peer != null) {
-            new ArrayList<>(peer.idle).forEach(Connection::close);
+            peer.closeIdle();
         }
     }
 
     /** Closes all idle connections: another process calls the endpoints now. */
     void closeIdle() {
-        peers.keySet().forEach(this::closeIdle);
+        List.copyOf(resting).forEach(Peer::closeIdle);
     }
 
     /** Idle connections that are kept. */
@@ -190,7 +198,7 @@
 
     /** Closes what an endpoint would soon close itself: a call that crosses its close would be lost. */
     private void sweep() {
-        for (Peer peer : peers.values()) {
+        for (Peer peer : List.copyOf(resting)) {
             List<Connection> old = peer.idle.stream().filter(c -> c.idledNanos() > idleNanos).toList();
             old.forEach(Connection::close);
         }
@@ -200,7 +208,8 @@
         final long endpoint;
         InetSocketAddress address;
         int batch = 1;
-        final Deque<Connection> idle = new ArrayDeque<>();
+        /** Made with the first one: most endpoints of a long list never get any. */
+        private Deque<Connection> idle = NONE;
         /** The post of this turn that calls may still join, if it has not gone out. */
         private Post next;
 
@@ -223,10 +232,34 @@
             return next;
         }
 
+        void keep(Connection connection) {
+            if (idle == NONE) {
+                idle = new ArrayDeque<>(2);
+            }
+            idle.addLast(connection);
+            resting.add(this);
+            Endpoints.this.idle++;
+        }
+
+        /** It rests no longer, if it did. */
+        void drop(Connection connection) {
+            if (idle.removeLastOccurrence(connection)) {
+                Endpoints.this.idle--;
+                if (idle.isEmpty()) {
+                    resting.remove(this);
+                    idle = NONE;
+                }
+            }
+        }
+
+        void closeIdle() {
+            new ArrayList<>(idle).forEach(Connection::close);
+        }
+
         Connection newestIdle() {
             while (!idle.isEmpty()) {
-                Connection newest = idle.removeLast();
-                Endpoints.this.idle--;
+                Connection newest = idle.peekLast();
+                drop(newest);
                 if (newest.isOpen() && newest.idledNanos() <= idleNanos
                         && trust.trusts(nowMs(), newest.idledMs())) {
                     return newest;
@@ -791,8 +824,7 @@
         private void rested() {
             if (channel.isActive() && idle < mostIdle && address.equals(peer.address)) {
                 fresh = false;
-                peer.idle.addLast(this);
-                idle++;
+                peer.keep(this);
             } else {
                 close();
             }
@@ -800,8 +832,8 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            if (peer != null && peer.idle.remove(this)) {
-                idle--;
+            if (peer != null) {
+                peer.drop(this);
             }
             if (post != null) {
                 if (answerTimer == null && !post.waiting().isEmpty()) {
@@ -830,8 +862,8 @@
         }
 
         void close() {
-            if (peer != null && peer.idle.remove(this)) {
-                idle--;
+            if (peer != null) {
+                peer.drop(this);
             }
             channel.close();
         }
--- a/src/main/java/kestreldeal/net/Notices.java
+++ b/src/main/java/kestreldeal/net/Notices.java
@@ -2,10 +2,10 @@
 
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -87,11 +87,30 @@
         } while (!waiting.isEmpty() && body.size() + line.length <= MOST_BYTES);
         told = batch;
         agent.ask(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/reports",
-                Unpooled.wrappedBuffer(body.toByteArray())), SILENT_MS, this::answered);
+                Unpooled.wrappedBuffer(body.toByteArray())), SILENT_MS, new Answer());
     }
 
-    private void answered(Optional<FullHttpResponse> answer) {
-        if (answer.filter(a -> a.status().equals(HttpResponseStatus.NO_CONTENT)).isPresent()) {
+    private final class Answer implements Agent.Asker {
+        private int status;
+
+        @Override
+        public void begins(int code) {
+            status = code;
+        }
+
+        @Override
+        public Optional<String> piece(ByteBuf content) {
+            return Optional.empty();
+        }
+
+        @Override
+        public void ends(Optional<String> fault) {
+            answered(fault.isEmpty() && status == HttpResponseStatus.NO_CONTENT.code());
+        }
+    }
+
+    private void answered(boolean taken) {
+        if (taken) {
             List<Held> done = told;
             told = List.of();
             done.forEach(heard);
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -10,12 +10,10 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -51,6 +49,14 @@
     /** An endpoint that has left the list is forgotten after so long: no call lasts till then. */
     private static final long GONE_MS = 60_000;
 
+    /** Share of the heap for endpoints that are listed; the rest is for messages, buffers and the journal's reading. */
+    private static final double LIST_SHARE = 0.6;
+    /** What one costs in all parts, with a destination of 1.6 endpoints, in bytes. */
+    private static final int ENDPOINT_BYTES = 1100;
+    /** Endpoints that are known at once; beyond that the process would end with the heap. */
+    private static final int MOST_ENDPOINTS =
+            (int) Math.min(Integer.MAX_VALUE, Runtime.getRuntime().maxMemory() * LIST_SHARE / ENDPOINT_BYTES);
+
     private final Config config;
     /** Whether another process may link to this one to take over from it. */
     private final boolean links;
@@ -60,16 +66,10 @@
     private final EventLoop loop = group.next();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final long startNanos = System.nanoTime();
-    private final Map<String, Long> endpointNumbers = new HashMap<>();
-    private final Map<Long, String> endpointIds = new HashMap<>();
-    private long nextEndpoint;
-    /** Endpoints that have left the list, and when. */
-    private final Map<String, Long> goneSince = new HashMap<>();
+    private final Directory directory = new Directory(MOST_ENDPOINTS);
     /** What is held and not over, by the module's number, and by the client's id. */
     private final Map<Long, Held> open = new HashMap<>();
     private final Map<String, Held> byId = new HashMap<>();
-    /** Destinations that a list has named. */
-    private final Set<Long> destinations = new HashSet<>();
     /** Attempts that are out, by message and attempt. */
     private final Map<Out, Endpoints.Call> calls = new HashMap<>();
     private final Relay relay;
@@ -163,7 +163,7 @@
         discovery = new Discovery(loop, new Agent(loop, agentAddress), new Lists());
         succession = new Succession(loop, config.state(), links, new Successor());
         succession.start();
-        discovery.start(config.known());
+        discovery.start(config.file());
         return null;
     }
 
@@ -325,7 +325,7 @@
     public void send(long message, long endpoint, double timeoutMs) {
         Held held = open.get(message);
         int number = held.attempts.size();
-        Held.Attempt attempt = new Held.Attempt(endpointIds.get(endpoint), System.currentTimeMillis());
+        Held.Attempt attempt = new Held.Attempt(directory.id(endpoint), System.currentTimeMillis());
         try {
             journal.attempt(held, attempt);
         } catch (IOException e) {
@@ -379,7 +379,7 @@
     @Override
     public void remember(long endpoint, Relay.Health health) {
         long ago = (long) (clock - health.since());
-        remember(endpointIds.get(endpoint), new Journal.Health(health.state(), System.currentTimeMillis() - ago,
+        remember(directory.id(endpoint), new Journal.Health(health.state(), System.currentTimeMillis() - ago,
                 health.carriedPerMs()));
     }
 
@@ -423,7 +423,7 @@
         @Override
         public void waitTold(long endpoint, double waitMs) {
             if (handedOver) {
-                succession.tellWait(endpointIds.get(endpoint), waitMs);
+                succession.tellWait(directory.id(endpoint), waitMs);
             } else {
                 Sender.this.waitTold(endpoint, waitMs);
             }
@@ -496,8 +496,27 @@
     /** Discovery's side. */
     private final class Lists implements Discovery.Lists {
         @Override
-        public void listed(boolean whole, List<Discovery.Entry> entries) {
-            Sender.this.listed(whole, entries);
+        public void begins() {
+            directory.begin();
+        }
+
+        @Override
+        public void named(List<Discovery.Entry> entries) {
+            Sender.this.named(entries);
+        }
+
+        @Override
+        public void ends(boolean whole) {
+            if (whole) {
+                leave();
+            }
+            forgetGone();
+            if (directory.passedOver() > 0) {
+                Log.line("the list names " + directory.passedOver() + " endpoints beyond the " + MOST_ENDPOINTS
+                        + " that the heap has room for; they get nothing");
+            }
+            listed = true;
+            begin();
         }
 
         @Override
@@ -507,59 +526,45 @@
         }
     }
 
-    private void listed(boolean whole, List<Discovery.Entry> entries) {
-        List<Relay.Endpoint> list = new ArrayList<>();
+    /** Entries bind as they are read; the module is told of them as of changes, since a list may come in portions. */
+    private void named(List<Discovery.Entry> entries) {
+        List<Relay.Endpoint> list = new ArrayList<>(entries.size());
+        long now = System.nanoTime();
         for (Discovery.Entry e : entries) {
-            if (e.address().isEmpty() && !endpointNumbers.containsKey(e.id())) {
+            if (e.address().isEmpty() && directory.known(e.id()).isEmpty()) {
                 continue;
             }
-            long number = endpointNumber(e.id());
-            destinations.add(e.destination());
+            OptionalLong room = directory.name(e, now);
+            if (room.isEmpty()) {
+                continue;
+            }
+            long number = room.getAsLong();
             int kind = Math.max(0, config.kinds().indexOf(e.kind()));
             e.address().ifPresent(address -> endpoints.at(number, address, e.serving(),
                     config.settings().kinds().get(kind).batch()));
             list.add(new Relay.Endpoint(number, e.destination(), kind,
                     Math.max(0, config.zones().indexOf(e.zone())), e.serving(), e.weight(), e.gone()));
         }
-        forgetGone(whole, entries);
-        event(() -> relay.endpoints(openTurn(), whole, list));
-        listed = true;
-        begin();
+        event(() -> relay.endpoints(openTurn(), false, list));
+    }
+
+    /** A whole list has ended. Those that it did not name get the rate that they or their destination had. */
+    private void leave() {
+        List<Relay.Endpoint> left = directory.leave(System.nanoTime()).stream().map(gone -> new Relay.Endpoint(
+                gone.number(), gone.destination(), 0, 0, false, gone.rate(), true)).toList();
+        event(() -> relay.endpoints(openTurn(), false, left));
     }
 
     /** Later than the module does, lest it name one that is no longer known here. */
-    private void forgetGone(boolean whole, List<Discovery.Entry> entries) {
-        long now = System.nanoTime();
-        if (whole) {
-            endpointNumbers.keySet().forEach(id -> goneSince.putIfAbsent(id, now));
+    private void forgetGone() {
+        for (Directory.Listed gone : directory.forget(System.nanoTime(), TimeUnit.MILLISECONDS.toNanos(GONE_MS))) {
+            endpoints.forget(gone.number());
+            remember(gone.id(), new Journal.Health(Relay.State.UP, 0, 0));
         }
-        for (Discovery.Entry e : entries) {
-            if (e.gone()) {
-                goneSince.putIfAbsent(e.id(), now);
-            } else {
-                goneSince.remove(e.id());
-            }
-        }
-        goneSince.entrySet().removeIf(gone -> {
-            boolean old = now - gone.getValue() > TimeUnit.MILLISECONDS.toNanos(GONE_MS);
-            if (old) {
-                long number = endpointNumbers.remove(gone.getKey());
-                endpointIds.remove(number);
-                endpoints.forget(number);
-                remember(gone.getKey(), new Journal.Health(Relay.State.UP, 0, 0));
-            }
-            return old;
-        });
     }
 
     private long endpointNumber(String id) {
-        return endpointNumbers.computeIfAbsent(id, unknown -> {
-            long number = nextEndpoint++;
-            endpointIds.put(number, id);
-            // Until a list names it: an earlier life may have known it.
-            goneSince.put(id, System.nanoTime());
-            return number;
-        });
+        return directory.number(id, System.nanoTime());
     }
 
     /** The clients' side. */
@@ -587,7 +592,7 @@
 
         @Override
         public boolean knowsDestination(long destination) {
-            return destinations.contains(destination);
+            return directory.knowsDestination(destination);
         }
 
         @Override
@@ -694,7 +699,7 @@
             List<Succession.OutAttempt> out = new ArrayList<>();
             calls.forEach((o, call) -> out.add(new Succession.OutAttempt(o.message(), o.attempt(), call.post())));
             return new Succession.Legacy(journal.over(), out,
-                    memory.endpoints().stream().map(known -> endpointIds.get(known.endpoint())).toList(), memory);
+                    memory.endpoints().stream().map(known -> directory.id(known.endpoint())).toList(), memory);
         }
 
         @Override
@@ -725,7 +730,7 @@
 
         @Override
         public void waitTold(String endpoint, double waitMs) {
-            Optional.ofNullable(endpointNumbers.get(endpoint)).ifPresent(n -> Sender.this.waitTold(n, waitMs));
+            directory.known(endpoint).ifPresent(n -> Sender.this.waitTold(n, waitMs));
         }
 
         @Override
