Scale tests: slopes of the module alone and of a real sender on loopback

Cause: how costs grow with what a sender knows, holds and does was looked at by a probe, not measured by a tool.

--- /dev/null
+++ b/src/main/java/kestreldeal/scale/ModuleSlopes.java
@@ -0,0 +1,37 @@
+package kestreldeal.scale;
+
+import java.util.List;
+
+/** Slopes of the decision module alone. */
+final class ModuleSlopes {
+    static final String WAITING = "waiting";
+    static final String LISTED = "listed";
+    static final String TRAFFIC = "traffic";
+    static final String GOING = "going";
+
+    private static final List<Integer> TWO_DECADES = List.of(1000, 3000, 10_000, 30_000, 100_000);
+    private static final List<Integer> SMALL = List.of(100, 1000, 10_000);
+
+    private ModuleSlopes() {
+    }
+
+    static List<Slope> all() {
+        return List.of(
+                slope(WAITING, "messages waiting, 100 destinations, all slots taken", TWO_DECADES, SMALL,
+                        List.of("turn_us", "turn_allocated_bytes", "bytes_each")),
+                slope(LISTED, "endpoints listed, 1.6 a destination, nothing waiting", TWO_DECADES, SMALL,
+                        List.of("turn_us", "turn_allocated_bytes", "change_us", "change_allocated_bytes",
+                                "bytes_each")),
+                slope(TRAFFIC, "destinations with traffic, 16 messages go in a turn",
+                        List.of(100, 300, 1000, 3000, 10_000), List.of(30, 100, 300),
+                        List.of("turn_us", "turn_allocated_bytes")),
+                slope(GOING, "messages that go in a turn, 1,000 destinations with traffic",
+                        List.of(10, 30, 100, 300, 1000), List.of(10, 30, 100),
+                        List.of("turn_us", "turn_allocated_bytes")));
+    }
+
+    private static Slope slope(String name, String by, List<Integer> sizes, List<Integer> quick,
+            List<String> fitted) {
+        return new Slope(name, by, sizes, quick, fitted, (setup, size, seed) -> Forked.probe(setup, name, size, seed));
+    }
+}
--- /dev/null
+++ b/src/main/java/kestreldeal/scale/World.java
@@ -0,0 +1,229 @@
+package kestreldeal.scale;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Stand-ins for what surrounds one sender: its agent with the list of endpoints, and the endpoints, all behind two
+ * addresses on loopback. The agent answers at once, the endpoints deliver after a set time.
+ */
+final class World implements AutoCloseable {
+    /** Where clients send the messages of destinations that have traffic. */
+    static final int DESTINATIONS = 50;
+    /** Every endpoint of the destinations from here on is draining: what is handed in for them stays held. */
+    static final int DRAINING = 1_000_000;
+    private static final int LONGEST = 1 << 20;
+    private static final double ENDPOINTS_EACH = 2;
+
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final Channel agent;
+    private final Channel endpoints;
+    private final long answerMs;
+    final AtomicLong agentBytes = new AtomicLong();
+    final AtomicLong delivered = new AtomicLong();
+    final AtomicLong notices = new AtomicLong();
+
+    /** Guarded by this object: both loops may serve the agent's connections. */
+    private final TreeMap<Long, String> changes = new TreeMap<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private List<String> list = List.of();
+    private long generation = 1;
+    /** The generation that the whole list was last replaced in. */
+    private long replaced = 1;
+
+    private record Watch(ChannelHandlerContext ctx, long after) {
+    }
+
+    /** Begins to listen; endpoints answer after so many milliseconds. */
+    World(long answerMs) {
+        this.answerMs = answerMs;
+        agent = listen(true);
+        endpoints = listen(false);
+    }
+
+    String agentAddress() {
+        return hostPort(agent);
+    }
+
+    private static String hostPort(Channel channel) {
+        return "127.0.0.1:" + ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
+    private Channel listen(boolean isAgent) {
+        return new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        if (isAgent) {
+                            channel.pipeline().addLast(new Meter());
+                        }
+                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LONGEST),
+                                isAgent ? new AgentSide() : new EndpointSide());
+                    }
+                }).bind("127.0.0.1", 0).syncUninterruptibly().channel();
+    }
+
+    // ---- the list ----
+
+    /** Puts a list of so many endpoints in place of the one before; a destination has two. */
+    synchronized void replaceList(int size) {
+        List<String> entries = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            entries.add(entry(i, "SERVING", 10));
+        }
+        entries.set(size - 1, entry(size - 1, (long) DRAINING, "DRAINING", 10));
+        list = entries;
+        changes.clear();
+        replaced = ++generation;
+        answerWatches();
+    }
+
+    /** Changes the weight of one entry. */
+    synchronized void change(int index, int weight) {
+        String changed = entry(index, "SERVING", weight);
+        changes.put(++generation, changed);
+        answerWatches();
+    }
+
+    private String entry(int index, String lifecycle, int weight) {
+        return entry(index, (long) (index / ENDPOINTS_EACH), lifecycle, weight);
+    }
+
+    /** As wide as in a real list: some 190 bytes. */
+    private String entry(int index, long destination, String lifecycle, int weight) {
+        return String.format(Locale.ROOT, "{\"instanceId\":\"s-%08x\",\"hostPort\":\"%s\",\"zone\":\"a\","
+                + "\"machineType\":\"m\",\"cell\":%d,\"lifecycle\":\"%s\",\"weight\":%d.0,\"startedAtMs\":0}", index,
+                hostPort(endpoints), destination, lifecycle, weight);
+    }
+
+    private void answerWatches() {
+        List<Watch> due = new ArrayList<>(watches);
+        watches.clear();
+        due.forEach(watch -> answerSince(watch.ctx(), watch.after()));
+    }
+
+    /** The whole list to who has not had it yet, else what changed. */
+    private void answerSince(ChannelHandlerContext ctx, long after) {
+        boolean whole = after < replaced;
+        List<String> entries = whole ? list : new ArrayList<>(changes.tailMap(after, false).values());
+        answer(ctx, HttpResponseStatus.OK, "{\"generation\":" + generation + ",\"reset\":" + whole
+                + ",\"instances\":[" + String.join(",", entries) + "]}");
+    }
+
+    private synchronized void watch(ChannelHandlerContext ctx, long after, long waitMs) {
+        Watch watch = new Watch(ctx, after);
+        if (after < generation || waitMs == 0) {
+            answerSince(ctx, after);
+            return;
+        }
+        watches.add(watch);
+        ctx.executor().schedule(() -> {
+            synchronized (World.this) {
+                if (watches.remove(watch)) {
+                    answerSince(ctx, after);
+                }
+            }
+        }, waitMs, TimeUnit.MILLISECONDS);
+    }
+
+    private static void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String body) {
+        ByteBuf bytes = Unpooled.copiedBuffer(body, StandardCharsets.UTF_8);
+        DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, bytes);
+        answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes());
+        ctx.writeAndFlush(answer);
+    }
+
+    // ---- connections ----
+
+    /** Counts what goes over the agent's connections, both ways. */
+    private final class Meter extends ChannelDuplexHandler {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object read) {
+            agentBytes.addAndGet(((ByteBuf) read).readableBytes());
+            ctx.fireChannelRead(read);
+        }
+
+        @Override
+        public void write(ChannelHandlerContext ctx, Object written, ChannelPromise promise) {
+            if (written instanceof ByteBuf bytes) {
+                agentBytes.addAndGet(bytes.readableBytes());
+            }
+            ctx.write(written, promise);
+        }
+    }
+
+    private final class AgentSide extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            if (request.method().equals(HttpMethod.POST)) {
+                notices.addAndGet(request.content().toString(StandardCharsets.UTF_8).lines().count());
+                answer(ctx, HttpResponseStatus.NO_CONTENT, "");
+                return;
+            }
+            QueryStringDecoder query = new QueryStringDecoder(request.uri());
+            watch(ctx, number(query, "after"), number(query, "wait_ms"));
+        }
+
+        /** Absent in the first question, which the whole list answers at once. */
+        private long number(QueryStringDecoder query, String name) {
+            return query.parameters().containsKey(name) ? Long.parseLong(query.parameters().get(name).get(0)) : 0;
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    private final class EndpointSide extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            ctx.executor().schedule(() -> {
+                delivered.incrementAndGet();
+                answer(ctx, HttpResponseStatus.OK, "{}");
+            }, answerMs, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    @Override
+    public void close() {
+        agent.close().syncUninterruptibly();
+        endpoints.close().syncUninterruptibly();
+        loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+}
