--- /dev/null
+++ b/src/test/java/kestreldeal/scale/JarsIT.java
@@ -0,0 +1,41 @@
+package kestreldeal.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.File;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.jar.JarFile;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** What the packaged jars hold and name: a sender can't load what its jar neither has nor names. */
+class JarsIT {
+    private static final Path TARGET = Path.of("target");
+
+    @Test
+    void theSendersJarHasNothingOfTheScaleTests() throws Exception {
+        List<String> libraries = names(TARGET.resolve("scale-lib"));
+        assertEquals(2, libraries.size(), libraries.toString());
+        assertTrue(Stream.of("picocli", "HdrHistogram").allMatch(l -> libraries.stream().anyMatch(n -> n.startsWith(l))));
+        try (JarFile jar = new JarFile(TARGET.resolve("kestreldeal.jar").toFile())) {
+            assertTrue(jar.stream().noneMatch(entry -> entry.getName().startsWith("kestreldeal/scale")));
+            assertTrue(jar.stream().anyMatch(entry -> entry.getName().equals("kestreldeal/Main.class")));
+            String path = jar.getManifest().getMainAttributes().getValue("Class-Path");
+            List<String> named = Arrays.asList(path.split(" "));
+            assertTrue(named.stream().allMatch(name -> name.startsWith("lib/")), path);
+            assertTrue(libraries.stream().noneMatch(library -> named.contains("lib/" + library)), path);
+            assertEquals(names(TARGET.resolve("lib")), named.stream().map(n -> n.substring(4)).sorted().toList());
+        }
+        try (JarFile jar = new JarFile(TARGET.resolve("kestreldeal-scale.jar").toFile())) {
+            assertTrue(jar.stream().filter(entry -> entry.getName().endsWith(".class"))
+                    .allMatch(entry -> entry.getName().startsWith("kestreldeal/scale/")));
+        }
+    }
+
+    private static List<String> names(Path folder) {
+        return Stream.of(folder.toFile().listFiles()).map(File::getName).sorted().toList();
+    }
+}
--- a/src/test/java/kestreldeal/scale/SlopesIT.java
+++ b/src/test/java/kestreldeal/scale/SlopesIT.java
@@ -7,15 +7,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.File;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.jar.JarFile;
-import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 
@@ -135,28 +131,4 @@
         assertBetween(-0.2, 0.2, exponent("control-list", "control_bytes_s"));
         assertBetween(0.9, 1.1, exponent("control-list", "whole_list_bytes"));
     }
-
-    @Test
-    void theSendersJarHasNothingOfTheScaleTests() throws Exception {
-        List<String> libraries = names(TARGET.resolve("scale-lib"));
-        assertEquals(2, libraries.size(), libraries.toString());
-        assertTrue(Stream.of("picocli", "HdrHistogram").allMatch(l -> libraries.stream().anyMatch(n -> n.startsWith(l))));
-        try (JarFile jar = new JarFile(TARGET.resolve("kestreldeal.jar").toFile())) {
-            assertTrue(jar.stream().noneMatch(entry -> entry.getName().startsWith("kestreldeal/scale")));
-            assertTrue(jar.stream().anyMatch(entry -> entry.getName().equals("kestreldeal/Main.class")));
-            String path = jar.getManifest().getMainAttributes().getValue("Class-Path");
-            List<String> named = Arrays.asList(path.split(" "));
-            assertTrue(named.stream().allMatch(name -> name.startsWith("lib/")), path);
-            assertTrue(libraries.stream().noneMatch(library -> named.contains("lib/" + library)), path);
-            assertEquals(names(TARGET.resolve("lib")), named.stream().map(n -> n.substring(4)).sorted().toList());
-        }
-        try (JarFile jar = new JarFile(TARGET.resolve("kestreldeal-scale.jar").toFile())) {
-            assertTrue(jar.stream().filter(entry -> entry.getName().endsWith(".class"))
-                    .allMatch(entry -> entry.getName().startsWith("kestreldeal/scale/")));
-        }
-    }
-
-    private static List<String> names(Path folder) {
-        return Stream.of(folder.toFile().listFiles()).map(File::getName).sorted().toList();
-    }
 }
