--- /dev/null
+++ b/src/main/java/kestreldeal/scale/Results.java
@@ -0,0 +1,158 @@
+package kestreldeal.scale;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Where results go: one JSON object a line to a file, if there is one, and short tables to the terminal. Each line
+ * says what it takes to run it again: seed, sizes, options of the JVM that measured, Java's version and the revision
+ * of the program. May be used by several threads.
+ */
+public final class Results implements AutoCloseable {
+    private static final String UNKNOWN = "unknown";
+    private static final long GIT_SECONDS = 5;
+
+    private final ObjectMapper json = JsonMapper.builder().build();
+    private final Optional<BufferedWriter> out;
+    private final PrintStream terminal;
+    private final Map<String, Object> common = new LinkedHashMap<>();
+
+    private Results(Optional<BufferedWriter> out, PrintStream terminal) {
+        this.out = out;
+        this.terminal = terminal;
+    }
+
+    /**
+     * Opens the file anew, if one is given.
+     *
+     * @param command what was run, such as {@code slopes}
+     * @param sizes the sizes that were asked for
+     * @throws IOException if the file can't be written
+     */
+    public static Results open(Optional<Path> file, String command, long seed, List<Integer> sizes)
+            throws IOException {
+        Optional<BufferedWriter> out = file.isEmpty() ? Optional.empty()
+                : Optional.of(Files.newBufferedWriter(file.get(), StandardCharsets.UTF_8));
+        Results results = new Results(out, System.out);
+        results.common.put("command", command);
+        results.common.put("seed", seed);
+        results.common.put("sizes", List.copyOf(sizes));
+        results.common.put("jvm", ManagementFactory.getRuntimeMXBean().getInputArguments());
+        results.common.put("java", Runtime.version().toString());
+        results.common.put("cores", Runtime.getRuntime().availableProcessors());
+        results.common.put("revision", revision());
+        return results;
+    }
+
+    /**
+     * Writes one line; a value of the same name goes before a common one, as where another JVM measured. A line with a
+     * figure says its unit under {@code unit}, or has it in the figure's name.
+     *
+     * @throws IOException if the file can't be written any more
+     */
+    public synchronized void line(String kind, Map<String, ?> values) throws IOException {
+        if (out.isEmpty()) {
+            return;
+        }
+        Map<String, Object> line = new LinkedHashMap<>();
+        line.put("kind", kind);
+        line.putAll(values);
+        common.forEach(line::putIfAbsent);
+        out.get().write(json.writeValueAsString(line));
+        out.get().newLine();
+        // What was measured outlasts a run that is broken off.
+        out.get().flush();
+    }
+
+    /** Prints a short table: columns as wide as their widest cell, numbers to the right. */
+    public synchronized void table(String title, List<String> heads, List<? extends List<?>> rows) {
+        List<List<String>> cells = new ArrayList<>();
+        cells.add(heads);
+        rows.forEach(row -> cells.add(row.stream().map(Results::cell).toList()));
+        terminal.println();
+        terminal.println(title);
+        for (List<String> row : cells) {
+            StringBuilder text = new StringBuilder();
+            for (int column = 0; column < row.size(); column++) {
+                text.append("  ").append(padded(row.get(column), width(cells, column), isNumber(cells, column)));
+            }
+            terminal.println(text.toString().stripTrailing());
+        }
+        terminal.flush();
+    }
+
+    /** A line about what is going on, to standard error. */
+    public static void progress(String text) {
+        System.err.println(text);
+    }
+
+    private static int width(List<List<String>> cells, int column) {
+        return cells.stream().mapToInt(row -> row.get(column).length()).max().orElse(0);
+    }
+
+    private static boolean isNumber(List<List<String>> cells, int column) {
+        return cells.stream().skip(1).allMatch(row -> row.get(column).matches("-?[0-9.,E]+|-"));
+    }
+
+    private static String padded(String text, int width, boolean right) {
+        String pad = " ".repeat(width - text.length());
+        return right ? pad + text : text + pad;
+    }
+
+    private static String cell(Object value) {
+        return value instanceof Double number ? number(number) : String.valueOf(value);
+    }
+
+    /** Four digits at most behind the first, which is what the measurements are good for. */
+    static String number(double value) {
+        if (Double.isNaN(value)) {
+            return "-";
+        }
+        double size = Math.abs(value);
+        return String.format(Locale.ROOT, size >= 1000 ? "%.0f" : size >= 10 ? "%.1f" : "%.3f", value);
+    }
+
+    /** The commit that is checked out here, with a mark where files differ from it. */
+    private static String revision() {
+        Optional<String> head = git("rev-parse", "--short=12", "HEAD");
+        boolean differs = git("status", "--porcelain", "--untracked-files=no").filter(s -> !s.isEmpty()).isPresent();
+        return head.map(commit -> commit + (differs ? "+changes" : "")).orElse(UNKNOWN);
+    }
+
+    private static Optional<String> git(String... arguments) {
+        List<String> command = new ArrayList<>(List.of("git"));
+        command.addAll(List.of(arguments));
+        try {
+            Process git = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+            String said = new String(git.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
+            boolean ended = git.waitFor(GIT_SECONDS, TimeUnit.SECONDS);
+            return ended && git.exitValue() == 0 ? Optional.of(said) : Optional.empty();
+        } catch (IOException e) {
+            return Optional.empty();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public synchronized void close() throws IOException {
+        if (out.isPresent()) {
+            out.get().close();
+        }
+    }
+}
