--- /dev/null
+++ b/src/main/java/kestreldeal/scale/fleet/Clients.java
@@ -0,0 +1,155 @@
+package kestreldeal.scale.fleet;
+
+import java.util.Arrays;
+import java.util.Random;
+import kestreldeal.Relay;
+import kestreldeal.scale.fleet.SimMessage.Asked;
+
+/**
+ * Clients behind a front: messages at a rate, uneven between destinations and between senders, some in clumps for one
+ * destination. A client comes once more after a refusal, when it was told to; and to another sender when its own is
+ * dead, of which the front hears late.
+ */
+final class Clients {
+    /** The front looks for a sender that is not known to be dead so many times. */
+    private static final int FRONT_DRAWS = 8;
+
+    private final Fleet fleet;
+    private final World world;
+    private final Model model;
+    private final Random random;
+    private final double end;
+    private final Parts partnerParts;
+    private final Parts senderParts;
+    private final double unsafeAmongLarge;
+    private final double meanClump;
+    private long lastId;
+
+    /** Clients of these destinations' traffic by part, until that time. */
+    Clients(Fleet fleet, Parts partnerParts, double end, Random random) {
+        this.fleet = fleet;
+        this.world = fleet.world();
+        this.model = fleet.settings().model();
+        this.random = random;
+        this.end = end;
+        this.partnerParts = partnerParts;
+        double[] parts = new double[fleet.settings().senders()];
+        Arrays.setAll(parts, i -> Math.exp(model.senderSpread() * random.nextGaussian()));
+        this.senderParts = new Parts(parts);
+        double middle = (model.clumpS().least() + model.clumpS().most()) / 2;
+        double large = 0;
+        double clump = 0;
+        for (Partner partner : fleet.partners()) {
+            double part = partnerParts.of(partner.id);
+            large += partner.kind == 0 ? part : 0;
+            clump += part * clumpSize(partner, middle);
+        }
+        this.unsafeAmongLarge = Math.min(1, model.unsafeShare() / large);
+        this.meanClump = clump;
+    }
+
+    /** Begins both streams. */
+    void start() {
+        double perMs = fleet.settings().messagesPerSecond() / 1000;
+        next(perMs * (1 - model.clumpShare()), this::single);
+        next(perMs * model.clumpShare() / meanClump, this::clump);
+    }
+
+    private void next(double perMs, Runnable arrival) {
+        double at = world.now() - Math.log(1 - random.nextDouble()) / perMs;
+        if (at < end) {
+            world.at(at, () -> {
+                arrival.run();
+                next(perMs, arrival);
+            });
+        }
+    }
+
+    private void single() {
+        Partner partner = fleet.partners().get(partnerParts.draw(random));
+        handIn(asked(partner), senderParts.draw(random));
+    }
+
+    /** Many at once, half of the times all by one client's sender. */
+    private void clump() {
+        Partner partner = fleet.partners().get(partnerParts.draw(random));
+        int size = clumpSize(partner, model.clumpS().draw(random));
+        boolean together = random.nextBoolean();
+        int sender = senderParts.draw(random);
+        for (int i = 0; i < size; i++) {
+            handIn(asked(partner), together ? sender : senderParts.draw(random));
+        }
+    }
+
+    private static int clumpSize(Partner partner, double seconds) {
+        return (int) Math.max(1, Math.round(partner.limitPerSecond * seconds));
+    }
+
+    private Asked asked(Partner partner) {
+        fleet.counts().asked++;
+        int messageClass = partner.kind == 0 && random.nextDouble() < unsafeAmongLarge ? Model.UNSAFE : Model.KEYED;
+        double deadline = fleet.relaySettings().classes().get(messageClass).deadlineMs();
+        int tries = random.nextDouble() < model.comesAgain() ? 1 : 0;
+        return new Asked(messageClass, partner, world.now(), world.now() + deadline, tries);
+    }
+
+    /** To that sender, or by the front to another where it is known to be dead. */
+    private void handIn(Asked asked, int first) {
+        HollowSender sender = fleet.senders().get(first);
+        for (int i = 0; i < FRONT_DRAWS && isKnownDead(sender); i++) {
+            sender = fleet.senders().get(senderParts.draw(random));
+        }
+        if (!sender.takes()) {
+            later(asked, model.againMs().draw(random), () -> fleet.counts().unanswered++);
+            return;
+        }
+        if (sender.holds() >= fleet.mostOpen()) {
+            turnedAway(asked);
+            return;
+        }
+        fleet.counts().handedIn++;
+        sender.take(new SimMessage(++lastId, asked, sender, asked.deadline));
+    }
+
+    private boolean isKnownDead(HollowSender sender) {
+        return !sender.takes() && world.now() > sender.stoppedAt() + model.frontNoticeMs().draw(random);
+    }
+
+    private void turnedAway(Asked asked) {
+        if (asked.triesLeft-- > 0) {
+            later(asked, model.backoffMs().draw(random), () -> fleet.counts().turnedAway++);
+        } else {
+            fleet.counts().turnedAway++;
+        }
+    }
+
+    /** Comes again, if there will be time left; else what it came to nothing by is counted. */
+    private void later(Asked asked, double ms, Runnable nothing) {
+        if (world.now() + ms >= asked.deadline) {
+            nothing.run();
+        } else {
+            world.in(ms, () -> handIn(asked, senderParts.draw(random)));
+        }
+    }
+
+    /** A sender has given a message back. */
+    void refused(SimMessage message, double waitMs) {
+        Asked asked = message.asked;
+        if (asked.triesLeft-- > 0) {
+            later(asked, Math.max(waitMs, model.backoffMs().draw(random)), () -> fleet.counts().refusedToClients++);
+        } else {
+            fleet.counts().refusedToClients++;
+        }
+    }
+
+    /** A sender has given a message up; it does not come again. */
+    void failed(SimMessage message) {
+        fleet.counts().failed++;
+    }
+
+    void delivered(SimMessage message) {
+        double took = world.now() - message.asked.at;
+        Relay.MessageClass type = fleet.relaySettings().classes().get(message.asked.messageClass);
+        fleet.counts().delivered(took, took <= type.aimMs());
+    }
+}
--- /dev/null
+++ b/src/main/java/kestreldeal/scale/fleet/Directory.java
@@ -0,0 +1,127 @@
+package kestreldeal.scale.fleet;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import kestreldeal.Relay;
+
+/**
+ * Discovery: a list that all senders begin with, and changes that each sender's agent hears late, by a drawn delay.
+ * What the agent has counts as told to a sender that lives. An agent that is cut off from where a change is made, or
+ * whose machine is gone, hears it after that.
+ */
+final class Directory {
+    private final Fleet fleet;
+    private final World world;
+    private final Random random;
+    private final Map<Long, Relay.Endpoint> first = new LinkedHashMap<>();
+    private final List<Agent> agents = new ArrayList<>();
+
+    /** An agent's own knowledge: what differs from the first list. */
+    private static final class Agent {
+        final Map<Long, Change> heard = new LinkedHashMap<>();
+        final List<Change> missed = new ArrayList<>();
+        boolean lost;
+        /** Since when changes can reach it. */
+        double reachedSince;
+    }
+
+    /** A change as discovery has it, by a zone's word, and how many agents have yet to hear it. */
+    private static final class Change {
+        final Relay.Endpoint entry;
+        final int zone;
+        final double at;
+        final long number;
+        int toHear;
+        double latest;
+
+        Change(Relay.Endpoint entry, int zone, double at, long number, int toHear) {
+            this.entry = entry;
+            this.zone = zone;
+            this.at = at;
+            this.number = number;
+            this.toHear = toHear;
+        }
+    }
+
+    Directory(Fleet fleet, Random random) {
+        this.fleet = fleet;
+        this.world = fleet.world();
+        this.random = random;
+        for (int i = 0; i < fleet.settings().senders(); i++) {
+            agents.add(new Agent());
+        }
+    }
+
+    /** An endpoint that all know from the start. */
+    void add(HollowEndpoint endpoint) {
+        first.put(endpoint.id, entry(endpoint, true, false));
+    }
+
+    /** Something was changed there; discovery has it a while later. */
+    void change(HollowEndpoint endpoint, boolean serving, boolean gone) {
+        Relay.Endpoint entry = entry(endpoint, serving, gone);
+        world.in(fleet.settings().model().noticeMs().draw(random), () -> publish(entry, endpoint.zone));
+    }
+
+    private static Relay.Endpoint entry(HollowEndpoint e, boolean serving, boolean gone) {
+        return new Relay.Endpoint(e.id, e.partner.id, e.partner.kind, e.zone, serving, e.partner.listedPerSecond, gone);
+    }
+
+    private void publish(Relay.Endpoint entry, int zone) {
+        Change change = new Change(entry, zone, world.now(), fleet.counts().changes++, agents.size());
+        fleet.ledger().published(entry);
+        fleet.senders().forEach(sender -> tellLater(sender, change));
+    }
+
+    private void tellLater(HollowSender sender, Change change) {
+        world.in(fleet.settings().model().spreadMs().draw(random), () -> tell(sender, change));
+    }
+
+    private void tell(HollowSender sender, Change change) {
+        Agent agent = agents.get(sender.number);
+        if (agent.lost || !fleet.network().passes(change.zone, sender.zone)) {
+            agent.missed.add(change);
+            return;
+        }
+        Change before = agent.heard.get(change.entry.id());
+        if (before == null || before.number < change.number) {
+            agent.heard.put(change.entry.id(), change);
+            sender.listed(change.entry);
+        }
+        inForce(change, world.now() - Math.max(change.at, agent.reachedSince));
+    }
+
+    /** The time counts from when the agent could have it. */
+    private void inForce(Change change, double ms) {
+        fleet.counts().inForceMs.recordValue(Math.round(ms));
+        change.latest = Math.max(change.latest, ms);
+        if (--change.toHear == 0) {
+            fleet.counts().inForceAtAllMs.recordValue(Math.round(change.latest));
+        }
+    }
+
+    /** A sender's machine is gone, or back. */
+    void machine(HollowSender sender, boolean lost) {
+        agents.get(sender.number).lost = lost;
+    }
+
+    /** What agents have missed while they were cut off or gone can reach them now. */
+    void reachable() {
+        for (HollowSender sender : fleet.senders()) {
+            Agent agent = agents.get(sender.number);
+            agent.reachedSince = agent.missed.isEmpty() ? agent.reachedSince : world.now();
+            List.copyOf(agent.missed).forEach(change -> tellLater(sender, change));
+            agent.missed.clear();
+        }
+    }
+
+    /** The whole list as a sender's agent has it. */
+    List<Relay.Endpoint> listAt(HollowSender sender) {
+        Map<Long, Relay.Endpoint> list = new LinkedHashMap<>(first);
+        agents.get(sender.number).heard.forEach((id, change) -> list.put(id, change.entry));
+        return list.values().stream().filter(entry -> !entry.gone()).toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/kestreldeal/scale/fleet/HollowSender.java
@@ -0,0 +1,438 @@
+package kestreldeal.scale.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import kestreldeal.Relay;
+import kestreldeal.Relay.Outcome;
+
+/**
+ * A sender without a body: the decision module with what a process would do for it. It gathers the events of one
+ * moment into a turn, sends what a turn decides, opens connections and times attempts out. What a journal would keep
+ * outlasts a life: messages held with their attempts, and the health told by the module.
+ */
+final class HollowSender implements Relay.Actions {
+    /** A keyed repeat is not written any more so shortly before its window ends. */
+    private static final double WRITTEN_MARGIN_MS = 100;
+    /** A sender that ends in order decides on calls for so long, and is killed after so long. */
+    private static final double CLOSING_MS = 3000;
+    private static final double KILLED_AFTER_MS = 3700;
+    private static final double NEXT_LIFE_MS = 600;
+
+    final int number;
+    final int zone;
+    private final Fleet fleet;
+    private final World world;
+    private final Map<Long, SimMessage> held = new LinkedHashMap<>();
+    /** The same, and those over of which an attempt is still out. */
+    private final Map<Long, SimMessage> known = new HashMap<>();
+    private final Map<Long, Relay.Health> health = new LinkedHashMap<>();
+    private final Map<Long, Connections> connections = new HashMap<>();
+    /** The calls that this turn forms, by endpoint. */
+    private final Map<Long, List<Call>> forming = new LinkedHashMap<>();
+    private Optional<Relay> relay = Optional.empty();
+    private Optional<Relay.Memory> memory = Optional.empty();
+    private int life;
+    private double readyAt;
+    private double diedAt;
+    private boolean takes;
+    private boolean turnOpen;
+    private long wakesAsked;
+
+    /** Its idle connections to one endpoint. */
+    private static final class Connections {
+        int idle;
+        int resets;
+        double usedAt;
+
+        boolean take(double now, double keepAliveMs, int resetsNow) {
+            idle = now - usedAt < keepAliveMs && resets == resetsNow ? idle : 0;
+            boolean taken = idle > 0;
+            idle -= taken ? 1 : 0;
+            return taken;
+        }
+
+        void give(double now, int resetsNow) {
+            idle = resets == resetsNow ? idle + 1 : 1;
+            resets = resetsNow;
+            usedAt = now;
+        }
+    }
+
+    HollowSender(int number, int zone, Fleet fleet) {
+        this.number = number;
+        this.zone = zone;
+        this.fleet = fleet;
+        this.world = fleet.world();
+    }
+
+    // ---- life ----
+
+    /** Begins a life, with what an earlier one left. */
+    void start() {
+        double now = world.now();
+        readyAt = now;
+        takes = true;
+        relay = Optional.of(fleet.newRelay(number, life, this));
+        List<Relay.Endpoint> list = fleet.directory().listAt(this);
+        list.forEach(entry -> fleet.ledger().listed(this, entry));
+        event(r -> {
+            r.endpoints(now, true, list);
+            memory.ifPresent(m -> r.recalled(now, m));
+            new LinkedHashMap<>(health).forEach((endpoint, h) -> r.recalled(now, endpoint, h));
+            List.copyOf(held.values()).forEach(message -> resume(r, message));
+        });
+        memory = Optional.empty();
+    }
+
+    private void resume(Relay r, SimMessage message) {
+        fleet.ledger().resumed(message);
+        r.resumed(world.now(), message(message), message.attempts.stream()
+                .map(a -> new Relay.EarlierAttempt(a.endpoint.id, a.sentAt, a.mayHaveRun())).toList());
+    }
+
+    /** Ends its life without warning: connections are reset, and what is out may have run. */
+    void kill() {
+        if (relay.isEmpty()) {
+            return;
+        }
+        relay = Optional.empty();
+        life++;
+        takes = false;
+        turnOpen = false;
+        diedAt = world.now();
+        connections.clear();
+        forming.clear();
+        held.values().forEach(message -> message.attempts.stream().filter(a -> a.outcome.isEmpty())
+                .forEach(a -> a.outcome = Optional.of(Outcome.BROKEN)));
+        known.clear();
+        known.putAll(held);
+        fleet.ledger().restarted(this);
+    }
+
+    /** Kills it, and starts it again after so long. */
+    void restartAfter(double ms) {
+        if (relay.isPresent()) {
+            fleet.counts().restarts++;
+            kill();
+            world.in(ms, this::start);
+        }
+    }
+
+    /** Ends in order: takes no more, lets calls end, and the next life takes over what this one knew. */
+    void restartInOrder() {
+        int lifeThen = life;
+        takes = false;
+        diedAt = world.now();
+        event(r -> r.closing(world.now(), world.now() + CLOSING_MS));
+        world.in(KILLED_AFTER_MS, () -> {
+            if (life == lifeThen) {
+                memory = relay.map(r -> r.memory(world.now()));
+                restartAfter(NEXT_LIFE_MS);
+            }
+        });
+    }
+
+    boolean isAlive() {
+        return relay.isPresent();
+    }
+
+    /** Whether it lives and has done so since that time. */
+    boolean isReadySince(double time) {
+        return isAlive() && readyAt <= time;
+    }
+
+    boolean takes() {
+        return takes;
+    }
+
+    /** When it last stopped taking messages. */
+    double stoppedAt() {
+        return diedAt;
+    }
+
+    int holds() {
+        return held.size();
+    }
+
+    // ---- events ----
+
+    /** Tells the module, in the turn of this moment; a dead sender hears nothing. */
+    private void event(Consumer<Relay> event) {
+        relay.ifPresent(r -> {
+            event.accept(r);
+            if (!turnOpen) {
+                turnOpen = true;
+                int lifeThen = life;
+                world.at(world.now(), () -> {
+                    if (life == lifeThen) {
+                        endTurn(r);
+                    }
+                });
+            }
+        });
+    }
+
+    private void endTurn(Relay r) {
+        turnOpen = false;
+        r.endTurn(world.now());
+        List<Call> calls = forming.values().stream().flatMap(List::stream).toList();
+        forming.clear();
+        calls.forEach(this::begin);
+    }
+
+    /** Takes a message. */
+    void take(SimMessage message) {
+        held.put(message.id, message);
+        known.put(message.id, message);
+        fleet.ledger().taken(message);
+        event(r -> r.message(world.now(), message(message)));
+    }
+
+    private Relay.Message message(SimMessage m) {
+        return new Relay.Message(m.id, m.asked.messageClass, 0, Optional.empty(), m.deadline - world.now(),
+                m.asked.partner.id);
+    }
+
+    /** Its agent has a change of the list. */
+    void listed(Relay.Endpoint entry) {
+        if (isAlive()) {
+            fleet.ledger().listed(this, entry);
+            event(r -> r.endpoints(world.now(), false, List.of(entry)));
+        }
+    }
+
+    /** An answer, or a reset, has come; one to a call that nobody waits for finds its connection closed. */
+    void answered(Call call, Outcome outcome, double waitMs, Relay.Report report) {
+        if (call.life != life || !isAlive() || !call.isAwaited()) {
+            return;
+        }
+        if (outcome != Outcome.BROKEN) {
+            connectionsTo(call.endpoint).give(world.now(), call.endpoint.resets());
+        }
+        if (waitMs > 0) {
+            fleet.ledger().waitTold(this, call.endpoint.partner, waitMs);
+        }
+        endAll(call, outcome, waitMs, report);
+    }
+
+    private void endAll(Call call, Outcome outcome, double waitMs, Relay.Report report) {
+        call.items.stream().filter(item -> item.attempt().outcome.isEmpty())
+                .forEach(item -> end(item, outcome, waitMs, report));
+    }
+
+    private void end(Call.Item item, Outcome outcome, double waitMs, Relay.Report report) {
+        SimMessage message = item.message();
+        SimMessage.Attempt attempt = item.attempt();
+        attempt.outcome = Optional.of(outcome);
+        boolean delivered = outcome == Outcome.DELIVERED;
+        if (!delivered && outcome != Outcome.CANCELLED && outcome != Outcome.NOT_SENT) {
+            attempt.endpoint.partner.told(this, attempt.sentAt);
+        }
+        if (delivered && message.ended) {
+            fleet.counts().deliveredAfterEnd++;
+        } else if (delivered) {
+            fleet.ledger().delivered(message);
+            held.remove(message.id);
+            fleet.clients().delivered(message);
+        }
+        forgetIfOver(message);
+        event(r -> r.attemptEnded(world.now(), new Relay.AttemptEnd(message.id, item.number(), outcome,
+                world.now() - attempt.sentAt, message.ended, waitMs, report)));
+    }
+
+    // ---- calls ----
+
+    private Connections connectionsTo(HollowEndpoint endpoint) {
+        return connections.computeIfAbsent(endpoint.id, unknown -> new Connections());
+    }
+
+    private void begin(Call call) {
+        HollowEndpoint to = call.endpoint;
+        if (connectionsTo(to).take(world.now(), fleet.relaySettings().keepAliveMs(), to.resets())) {
+            write(call);
+        } else {
+            connect(call);
+        }
+    }
+
+    private void connect(Call call) {
+        HollowEndpoint to = call.endpoint;
+        Network network = fleet.network();
+        double way = network.delay(zone, to.zone);
+        fleet.counts().connects++;
+        world.in(way, () -> {
+            if (!network.passes(zone, to.zone) || to.state() == HollowEndpoint.State.SILENT) {
+                later(call, fleet.settings().model().connectTimeoutMs() - way, this::unreachable);
+            } else {
+                later(call, network.delay(to.zone, zone), to.accepts() ? this::write : this::unreachable);
+            }
+        });
+    }
+
+    private void later(Call call, double ms, Consumer<Call> then) {
+        world.in(ms, () -> {
+            if (call.life == life && isAlive()) {
+                then.accept(call);
+            }
+        });
+    }
+
+    private void unreachable(Call call) {
+        endAll(call, Outcome.UNREACHABLE, 0, Relay.Report.NONE);
+    }
+
+    /** Since it was decided a connect may have passed: what may not go any more doesn't. */
+    private void write(Call call) {
+        List<Call.Item> dropped = call.items.stream()
+                .filter(item -> item.attempt().outcome.isPresent() || !mayStillGo(item)).toList();
+        call.items.removeAll(dropped);
+        dropped.stream().filter(item -> item.attempt().outcome.isEmpty())
+                .forEach(item -> end(item, Outcome.NOT_SENT, 0, Relay.Report.NONE));
+        if (call.items.isEmpty()) {
+            connectionsTo(call.endpoint).give(world.now(), call.endpoint.resets());
+            return;
+        }
+        call.items.forEach(item -> fleet.ledger().written(item.message(), item.number(), call.endpoint));
+        fleet.counts().callsWritten++;
+        call.writtenAt = world.now();
+        Network network = fleet.network();
+        world.in(network.delay(zone, call.endpoint.zone), () -> {
+            if (network.passes(zone, call.endpoint.zone)) {
+                call.endpoint.receive(call);
+            }
+        });
+    }
+
+    private boolean mayStillGo(Call.Item item) {
+        SimMessage message = item.message();
+        if (message.ended || !relay.get().mayStillGo(world.now(), item.attempt().endpoint.id)) {
+            return false;
+        }
+        Relay.MessageClass type = fleet.relaySettings().classes().get(message.asked.messageClass);
+        return type.effect() != Relay.Effect.KEYED || message.attempts.subList(0, item.number()).stream()
+                .noneMatch(a -> a.mayHaveRun()
+                        && world.now() > a.sentAt + type.windowMs() - WRITTEN_MARGIN_MS);
+    }
+
+    // ---- what the module asks for ----
+
+    @Override
+    public void send(long id, long endpointId, double timeoutMs) {
+        SimMessage message = known(id, "sent");
+        HollowEndpoint endpoint = fleet.endpoint(endpointId);
+        fleet.ledger().sent(message, endpoint);
+        boolean copy = message.out() > 0;
+        int count = message.attempts.size();
+        fleet.counts().copies += copy ? 1 : 0;
+        fleet.counts().firstSends += count == 0 ? 1 : 0;
+        fleet.counts().trials += isDown(endpointId) ? 1 : 0;
+        SimMessage.Attempt attempt = new SimMessage.Attempt(endpoint, world.now());
+        message.attempts.add(attempt);
+        Call.Item item = new Call.Item(message, count, attempt);
+        Call call = callTo(endpoint);
+        call.items.add(item);
+        later(call, timeoutMs, c -> {
+            if (attempt.outcome.isEmpty()) {
+                boolean written = call.writtenAt <= world.now();
+                end(item, written ? Outcome.TIMED_OUT : Outcome.UNREACHABLE, 0, Relay.Report.NONE);
+            }
+        });
+    }
+
+    private boolean isDown(long endpoint) {
+        return Optional.ofNullable(health.get(endpoint)).filter(h -> h.state() == Relay.State.DOWN).isPresent();
+    }
+
+    private Call callTo(HollowEndpoint endpoint) {
+        List<Call> calls = forming.computeIfAbsent(endpoint.id, unknown -> new ArrayList<>());
+        if (calls.isEmpty() || calls.get(calls.size() - 1).items.size() >= endpoint.partner.type.batch()) {
+            calls.add(new Call(this, life, endpoint));
+        }
+        return calls.get(calls.size() - 1);
+    }
+
+    @Override
+    public void cancel(long id, int number) {
+        SimMessage message = known(id, "called off");
+        SimMessage.Attempt attempt = message.attempts.get(number);
+        int lifeThen = life;
+        world.at(world.now(), () -> {
+            if (lifeThen == life && attempt.outcome.isEmpty()) {
+                end(new Call.Item(message, number, attempt), Outcome.CANCELLED, 0, Relay.Report.NONE);
+            }
+        });
+    }
+
+    @Override
+    public void closeIdle(long endpoint) {
+        connections.remove(endpoint);
+    }
+
+    @Override
+    public void refuse(long id, double waitMs) {
+        SimMessage message = end(id, "refused");
+        fleet.ledger().refused(message);
+        fleet.clients().refused(message, waitMs);
+    }
+
+    @Override
+    public void fail(long id) {
+        SimMessage message = end(id, "failed");
+        fleet.ledger().failed(message);
+        fleet.clients().failed(message);
+    }
+
+    private SimMessage end(long id, String how) {
+        SimMessage message = known(id, how);
+        held.remove(id);
+        forgetIfOver(message);
+        return message;
+    }
+
+    private SimMessage known(long id, String how) {
+        SimMessage message = known.get(id);
+        if (message == null) {
+            throw new Broken(world.now(), "message " + id + ": " + how + " by sender " + number
+                    + ", which does not have it");
+        }
+        return message;
+    }
+
+    /** What has neither a place in the journal nor an attempt out is known no more. */
+    private void forgetIfOver(SimMessage message) {
+        if (!held.containsKey(message.id) && message.out() == 0) {
+            known.remove(message.id);
+        }
+    }
+
+    /** A later wake goes before an earlier one: the module asks for the next only. */
+    @Override
+    public void wakeAt(double time) {
+        long asked = ++wakesAsked;
+        int lifeThen = life;
+        world.at(time, () -> {
+            if (asked == wakesAsked && life == lifeThen) {
+                event(r -> r.wake(world.now()));
+            }
+        });
+    }
+
+    @Override
+    public void remember(long endpoint, Relay.Health now) {
+        if (now.state() == Relay.State.UP) {
+            health.remove(endpoint);
+        } else {
+            health.put(endpoint, now);
+        }
+    }
+
+    @Override
+    public void log(String text) {
+        // Lines for the people on call of a thousand senders are read by nobody.
+    }
+}
--- /dev/null
+++ b/src/main/java/kestreldeal/scale/fleet/Partner.java
@@ -0,0 +1,138 @@
+package kestreldeal.scale.fleet;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import kestreldeal.Relay;
+
+/**
+ * A destination: its endpoints, the limit that they share, and its outages. It is out while none of its endpoints
+ * serves, and cold when one does again.
+ */
+final class Partner {
+    final int id;
+    final int kind;
+    final Model.Kind type;
+    final Limit limit;
+    /** Calls a second that its limit takes, and that the list says it takes. */
+    final double limitPerSecond;
+    final double listedPerSecond;
+    /** Calls a millisecond that it can do when warm, by the rule. */
+    final double capacityPerMs;
+    final List<HollowEndpoint> endpoints = new ArrayList<>();
+    private final Model model;
+    private final Relay.ColdStart rule;
+    private final Counts counts;
+    private final Random random;
+    private final double waitMs;
+    private final double tellsWait;
+    private final BitSet toldSenders = new BitSet();
+    private Optional<ColdReturn> cold = Optional.empty();
+    private boolean out;
+    private double outAt;
+    private double backAt;
+    private Relay.Report report = Relay.Report.NONE;
+    private double reportUntil;
+
+    /** A destination that gets so many messages a second in the mean. */
+    Partner(int id, double messagesPerSecond, FleetSettings settings, Relay.ColdStart rule, Counts counts,
+            Random random) {
+        this.id = id;
+        this.model = settings.model();
+        this.rule = rule;
+        this.counts = counts;
+        this.random = random;
+        this.kind = id % model.kinds().size();
+        this.type = model.kinds().get(kind);
+        this.limitPerSecond = Math.max(model.leastLimit().draw(random),
+                model.headroom().draw(random) * messagesPerSecond);
+        double error = 1 + model.listedError() * (2 * random.nextDouble() - 1);
+        this.listedPerSecond = limitPerSecond * error;
+        this.capacityPerMs = limitPerSecond * model.spare().draw(random) / 1000;
+        this.waitMs = model.waitMs().draw(random);
+        this.tellsWait = type.tellsWait().draw(random);
+        double perMs = limitPerSecond / 1000;
+        this.limit = type.byCount() ? Limit.byCount(perMs, model.windowMs().draw(random))
+                : Limit.byRate(perMs, limitPerSecond * model.depthS().draw(random));
+    }
+
+    /** The wait that a refusal above the limit tells: honest, or 0 for none. */
+    double waitAboveLimit(double now) {
+        if (random.nextDouble() >= tellsWait) {
+            return 0;
+        }
+        double room = limit.roomIn(now);
+        return Math.ceil(type.byCount() ? room : Math.max(waitMs, room));
+    }
+
+    /** The wait that a refusal tells while it is shut until then, or 0 for none. */
+    double waitUntil(double now, double opening) {
+        return random.nextDouble() < tellsWait ? Math.ceil(Math.max(0, opening - now)) : 0;
+    }
+
+    /** What its answers tell; a report stands for a while. */
+    Relay.Report report(double now) {
+        if (now >= reportUntil) {
+            double left = Math.min(1, Math.max(0, limit.left(now) + noise()));
+            report = new Relay.Report(limitPerSecond * (1 + noise()), left);
+            reportUntil = now + model.reportMs().draw(random);
+        }
+        return report;
+    }
+
+    private double noise() {
+        return model.reportNoise() * (2 * random.nextDouble() - 1);
+    }
+
+    /** The share of its capacity that it has now. */
+    double share(double now) {
+        return cold.map(c -> c.share(now)).orElse(1.0);
+    }
+
+    boolean isOut() {
+        return out;
+    }
+
+    /** An endpoint serves, or does no longer. */
+    void endpointChanged(double now) {
+        boolean serves = endpoints.stream().anyMatch(HollowEndpoint::serves);
+        if (serves == !out) {
+            return;
+        }
+        out = !serves;
+        if (out) {
+            cold.ifPresent(c -> counts.coldReturnOver(c.worst()));
+            cold = Optional.empty();
+            toldSenders.clear();
+            outAt = now;
+            backAt = Double.POSITIVE_INFINITY;
+            counts.outages++;
+        } else {
+            backAt = now;
+            cold = Optional.of(new ColdReturn(capacityPerMs, rule, now));
+        }
+    }
+
+    /** A sender has learned that a call there failed or was refused; it tells of the outage if it was made in it. */
+    void told(HollowSender sender, double calledAt) {
+        if (calledAt >= outAt && calledAt < backAt) {
+            toldSenders.set(sender.number);
+        }
+    }
+
+    /** A call has reached it; the window that is over the budget by that, if it is cold and one is. */
+    Optional<ColdReturn.Window> arrived(double now, HollowSender from) {
+        if (cold.filter(c -> c.isOver(now)).isPresent()) {
+            coldReturnOver();
+        }
+        return cold.map(c -> c.arrived(now, toldSenders.get(from.number))).filter(window -> window.ratio() > 1);
+    }
+
+    /** What was seen of a return that is over, or that the run has ended. */
+    void coldReturnOver() {
+        cold.ifPresent(c -> counts.coldReturnOver(c.worst()));
+        cold = Optional.empty();
+    }
+}
--- /dev/null
+++ b/src/main/java/kestreldeal/scale/fleet/SimMessage.java
@@ -0,0 +1,60 @@
+package kestreldeal.scale.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import kestreldeal.Relay;
+
+/** A message as one sender has taken it: what a journal would keep, and what the ledger knows of it. */
+final class SimMessage {
+    final long id;
+    final Asked asked;
+    final HollowSender sender;
+    final double deadline;
+    final List<Attempt> attempts = new ArrayList<>();
+    boolean ended;
+
+    SimMessage(long id, Asked asked, HollowSender sender, double deadline) {
+        this.id = id;
+        this.asked = asked;
+        this.sender = sender;
+        this.deadline = deadline;
+    }
+
+    int out() {
+        return (int) attempts.stream().filter(a -> a.outcome.isEmpty()).count();
+    }
+
+    /** What a client wants delivered, however often it is handed in. */
+    static final class Asked {
+        final int messageClass;
+        final Partner partner;
+        final double at;
+        final double deadline;
+        int triesLeft;
+
+        Asked(int messageClass, Partner partner, double at, double deadline, int triesLeft) {
+            this.messageClass = messageClass;
+            this.partner = partner;
+            this.at = at;
+            this.deadline = deadline;
+            this.triesLeft = triesLeft;
+        }
+    }
+
+    /** One attempt; out for as long as it has no outcome. */
+    static final class Attempt {
+        final HollowEndpoint endpoint;
+        final double sentAt;
+        Optional<Relay.Outcome> outcome = Optional.empty();
+
+        Attempt(HollowEndpoint endpoint, double sentAt) {
+            this.endpoint = endpoint;
+            this.sentAt = sentAt;
+        }
+
+        boolean mayHaveRun() {
+            return outcome.map(Relay.Outcome::mayHaveRun).orElse(true);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/kestreldeal/scale/fleet/ColdReturnTest.java
@@ -0,0 +1,43 @@
+package kestreldeal.scale.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import kestreldeal.Relay;
+import org.junit.jupiter.api.Test;
+
+/** The rule on cold destinations, against figures reckoned by hand. */
+class ColdReturnTest {
+    /** Ten calls a second, cold from 10 s to 22 s at a fifth, twice that for 3 s. */
+    private final ColdReturn cold = new ColdReturn(0.01, new Relay.ColdStart(0.2, 12_000, 2, 3000), 10_000);
+
+    private static double most(double n) {
+        return n + 2 * Math.sqrt(n) + 2;
+    }
+
+    @Test
+    void theBudgetGrowsWithWhatItCanDo() {
+        assertEquals(most(12), cold.most(10_000), 1e-9);
+        // The share goes from 0.2 to 0.4 in these 3 s: 0.3 in the mean.
+        assertEquals(most(18), cold.most(13_000), 1e-9);
+        assertEquals(most(60), cold.most(25_000), 1e-9);
+        assertEquals(0.6, cold.share(16_000), 1e-9);
+        assertFalse(cold.isOver(21_999));
+        assertTrue(cold.isOver(22_000));
+    }
+
+    @Test
+    void aWindowHoldsTheCallsOfItsSpanOnly() {
+        for (int i = 0; i < 20; i++) {
+            cold.arrived(10_000 + i, i < 14);
+        }
+        assertEquals(20, cold.worst().calls());
+        assertEquals(14, cold.worst().told());
+        assertTrue(cold.worst().isTold());
+        assertFalse(cold.worst().ratio() > 1, "20.9 are allowed");
+        assertTrue(cold.arrived(10_020, false).ratio() > 1);
+        assertFalse(cold.worst().isTold(), "14 of 21 are not over two thirds");
+        assertEquals(1, cold.arrived(13_020, false).calls());
+    }
+}
--- /dev/null
+++ b/src/test/java/kestreldeal/scale/fleet/FleetTest.java
@@ -0,0 +1,52 @@
+package kestreldeal.scale.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Small fleets: every scenario holds the rules, with bounds on counts and on their growth by senders. */
+class FleetTest {
+    private static Counts play(int senders, Scenario scenario, long seed) {
+        return new Fleet(new FleetSettings(senders, 15, 4, 40, seed, scenario, false, Model.STANDARD))
+                .run((now, events) -> { });
+    }
+
+    @ParameterizedTest
+    @EnumSource(Scenario.class)
+    void everyMessageHasOneEndAndCountsStayInBounds(Scenario scenario) {
+        Counts c = play(30, scenario, 3);
+        String figures = c.figures().toString();
+        assertEquals(c.asked, c.inTime + c.late + c.refusedToClients + c.failed + c.turnedAway + c.unanswered, figures);
+        assertTrue(c.asked > 1500, figures);
+        assertEquals(0, c.overBudget(), figures);
+        assertEquals(0, c.callsAfterWord, figures);
+        assertTrue(c.refusedShare() < 0.1, figures);
+        assertTrue(c.copyShare() <= 0.1, figures);
+        assertTrue(c.wastedShare() < 0.1, figures);
+        assertTrue(c.changes >= 9 && c.inForceAtAllMs.getTotalCount() == c.changes, figures);
+        assertTrue(c.inForceAtAllMs.getMaxValue() <= 6000, figures);
+        assertTrue(scenario != Scenario.RESTARTS && scenario != Scenario.ZONE || c.restarts > 0, figures);
+        boolean returns = scenario == Scenario.DOWN || scenario == Scenario.RETURN;
+        assertTrue(!returns || c.outages > 0 && c.coldReturns.size() == c.outages && c.trials > 0, figures);
+    }
+
+    @Test
+    void equalSeedsGiveEqualFigures() {
+        assertEquals(play(20, Scenario.RETURN, 9).figures(), play(20, Scenario.RETURN, 9).figures());
+        assertNotEquals(play(20, Scenario.RETURN, 9).figures(), play(20, Scenario.RETURN, 10).figures());
+    }
+
+    /** What a hundred senders do to the same destinations is not ten times what ten do. */
+    @Test
+    void theSumGrowsSlowerThanTheSenders() {
+        Counts few = play(10, Scenario.RETURN, 4);
+        Counts many = play(100, Scenario.RETURN, 4);
+        assertTrue(few.trials > 0 && many.trials < 3 * few.trials, few.trials + " trials, then " + many.trials);
+        assertTrue(many.refused < 4 * few.refused, few.refused + " refused, then " + many.refused);
+        assertTrue(many.connects > few.connects, "thin streams find fewer connections open");
+    }
+}
--- /dev/null
+++ b/src/test/java/kestreldeal/scale/fleet/LedgerTest.java
@@ -0,0 +1,146 @@
+package kestreldeal.scale.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import kestreldeal.Relay;
+import org.junit.jupiter.api.Test;
+
+/** Each rule ends the run when the module is made to break it; the same runs hold with the module as it is. */
+class LedgerTest {
+    private static FleetSettings settings(Scenario scenario) {
+        return new FleetSettings(20, 12, 4, 30, 5, scenario, false, Model.STANDARD);
+    }
+
+    private static Counts plays(Scenario scenario) {
+        return new Fleet(settings(scenario)).run((now, events) -> { });
+    }
+
+    private static void breaks(Scenario scenario, Fleet.RelayFactory doctored, String how) {
+        Fleet fleet = new Fleet(settings(scenario), doctored);
+        Broken broken = assertThrows(Broken.class, () -> fleet.run((now, events) -> { }));
+        assertTrue(broken.getMessage().matches("broken at [0-9.]+ s: message [0-9]+: .*" + how + ".*"),
+                broken.getMessage());
+    }
+
+    @Test
+    void holdsWithTheModuleAsItIs() {
+        assertTrue(plays(Scenario.RETURN).restarts > 0);
+        assertTrue(plays(Scenario.STEADY).changes > 0);
+    }
+
+    @Test
+    void aMessageWithoutAnAnswerIsFound() {
+        breaks(Scenario.RETURN, (s, seed, actions) -> Relay.create(s, seed, new Doctored.Passing(actions) {
+            @Override
+            public void refuse(long message, double waitMs) {
+                // Left out.
+            }
+        }), "no final answer [0-9]+ ms after its time");
+    }
+
+    @Test
+    void anAnswerTooLateIsFound() {
+        breaks(Scenario.RETURN, (s, seed, actions) -> new Doctored(Relay.create(s, seed, actions)) {
+            @Override
+            public void message(double now, Message m) {
+                super.message(now, new Message(m.id(), m.messageClass(), m.tenant(), m.key(), m.timeLeftMs() + 60,
+                        m.destination()));
+            }
+
+            @Override
+            public void resumed(double now, Message m, List<EarlierAttempt> attempts) {
+                super.resumed(now, new Message(m.id(), m.messageClass(), m.tenant(), m.key(), m.timeLeftMs() + 60,
+                        m.destination()), attempts);
+            }
+        }, "no final answer 20 ms after its time");
+    }
+
+    @Test
+    void aSecondAnswerIsFound() {
+        breaks(Scenario.RETURN, (s, seed, actions) -> Relay.create(s, seed, new Doctored.Passing(actions) {
+            @Override
+            public void refuse(long message, double waitMs) {
+                super.refuse(message, waitMs);
+                super.fail(message);
+            }
+        }), "failed by sender [0-9]+, which does not have it");
+    }
+
+    /** Tells ends that leave open whether a message has run as such that don't. */
+    private static final class TellsNeverRan extends Doctored {
+        private final int messageClass;
+        private final Set<Long> ofClass = new HashSet<>();
+
+        TellsNeverRan(Relay real, int messageClass) {
+            super(real);
+            this.messageClass = messageClass;
+        }
+
+        @Override
+        public void message(double now, Message message) {
+            if (message.messageClass() == messageClass) {
+                ofClass.add(message.id());
+            }
+            super.message(now, message);
+        }
+
+        @Override
+        public void attemptEnded(double now, AttemptEnd e) {
+            boolean lie = ofClass.contains(e.message()) && e.outcome().mayHaveRun() && !e.finished();
+            super.attemptEnded(now, lie ? new AttemptEnd(e.message(), e.attempt(), Outcome.UNREACHABLE, e.tookMs(),
+                    false, 0, e.report()) : e);
+        }
+    }
+
+    @Test
+    void aSecondRunOfWhatMustNotRunTwiceIsFound() {
+        breaks(Scenario.RETURN, (s, seed, actions) -> new TellsNeverRan(Relay.create(s, seed, actions), Model.UNSAFE),
+                "must not run twice and may have run");
+    }
+
+    @Test
+    void aRepeatOutOfItsWindowIsFound() {
+        breaks(Scenario.RETURN, (s, seed, actions) -> new TellsNeverRan(Relay.create(s, seed, actions), Model.KEYED),
+                "sent [0-9]+ ms after it may have run, out of its window");
+    }
+
+    @Test
+    void aSendAfterWordOfADrainIsFound() {
+        breaks(Scenario.STEADY, (s, seed, actions) -> new Doctored(Relay.create(s, seed, actions)) {
+            @Override
+            public void endpoints(double now, boolean whole, List<Endpoint> entries) {
+                super.endpoints(now, whole, entries.stream().filter(Endpoint::serving).toList());
+            }
+        }, "after word that it drains or is gone");
+    }
+
+    @Test
+    void aSendWithinAToldWaitIsFound() {
+        breaks(Scenario.STEADY, (s, seed, actions) -> new Doctored(Relay.create(s, seed, actions)) {
+            @Override
+            public void attemptEnded(double now, AttemptEnd e) {
+                super.attemptEnded(now, new AttemptEnd(e.message(), e.attempt(), e.outcome(), e.tookMs(),
+                        e.finished(), 0, e.report()));
+            }
+        }, "before a told wait ends");
+    }
+
+    /** Each sender takes itself for the only one, and the rule for a wider one. */
+    @Test
+    void tooManyCallsInAColdReturnAreSeenAndPushOver() {
+        Fleet.RelayFactory alone = (s, seed, actions) -> Relay.create(new Relay.Settings(s.classes(), s.kinds(),
+                s.ratesListed(), s.decay(), s.zoneFees(), 1, s.slots(), s.maxAttempts(), s.copies(), s.cancels(),
+                s.keyRestMs(), s.keepAliveMs(), new Relay.ColdStart(1, 12_000, 50, 3000)), seed, actions);
+        FleetSettings stands = new FleetSettings(60, 12, 8, 30, 5, Scenario.RETURN, false, Model.STANDARD);
+        FleetSettings falls = new FleetSettings(60, 12, 8, 30, 5, Scenario.RETURN, true, Model.STANDARD);
+        Counts seen = new Fleet(stands, alone).run((now, events) -> { });
+        assertTrue(seen.overBudget() > 0 && seen.worstWindow().ratio() > 1, seen.figures().toString());
+        assertEquals(0, seen.falls);
+        assertTrue(new Fleet(falls, alone).run((now, events) -> { }).falls > 0);
+    }
+}
