--- a/src/main/java/kestreldeal/scale/fleet/ColdReturn.java
+++ b/src/main/java/kestreldeal/scale/fleet/ColdReturn.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Predicate;
 import kestreldeal.Relay;
 
 /**
@@ -13,15 +14,26 @@
     private final double capacityPerMs;
     private final Relay.ColdStart rule;
     private final double returnedAt;
+    private final HollowEndpoint.State after;
     private final Deque<Arrival> window = new ArrayDeque<>();
     private double worst;
-    private Window worstWindow = new Window(0, 0, 0, 0);
+    private Window worstWindow = Window.NONE;
+    private boolean broken;
 
-    private record Arrival(double at, boolean told) {
+    private record Arrival(double at, boolean told, Relay.State heldAs) {
     }
 
-    /** Calls in the span that ends at a time, what may come in it at most, and those from senders that were told. */
-    record Window(double endMs, int calls, double most, int told) {
+    /**
+     * Calls in the span that ends at a time, and what may come in it at most.
+     *
+     * @param told calls from senders that had been told of the outage
+     * @param heldUp calls from senders that held the endpoint to be in service
+     * @param trials calls from senders that held it to be down
+     * @param after what the outage was like
+     */
+    record Window(double endMs, int calls, double most, int told, int heldUp, int trials, HollowEndpoint.State after) {
+        static final Window NONE = new Window(0, 0, 0, 0, 0, 0, HollowEndpoint.State.SERVING);
+
         double ratio() {
             return most == 0 ? 0 : calls / most;
         }
@@ -32,10 +44,11 @@
         }
     }
 
-    ColdReturn(double capacityPerMs, Relay.ColdStart rule, double returnedAt) {
+    ColdReturn(double capacityPerMs, Relay.ColdStart rule, double returnedAt, HollowEndpoint.State after) {
         this.capacityPerMs = capacityPerMs;
         this.rule = rule;
         this.returnedAt = returnedAt;
+        this.after = after;
     }
 
     boolean isOver(double now) {
@@ -49,12 +62,14 @@
     }
 
     /** A call has come; the window that ends with it. */
-    Window arrived(double now, boolean told) {
-        window.add(new Arrival(now, told));
+    Window arrived(double now, boolean told, Relay.State heldAs) {
+        window.add(new Arrival(now, told, heldAs));
         while (window.peek().at <= now - rule.overloadMs()) {
             window.remove();
         }
-        Window ended = new Window(now, window.size(), most(now), (int) window.stream().filter(Arrival::told).count());
+        Window ended = new Window(now, window.size(), most(now), count(Arrival::told),
+                count(call -> call.heldAs == Relay.State.UP), count(call -> call.heldAs == Relay.State.DOWN), after);
+        broken |= ended.ratio() > 1 && ended.isTold();
         if (ended.ratio() > worst) {
             worst = ended.ratio();
             worstWindow = ended;
@@ -62,6 +77,10 @@
         return ended;
     }
 
+    private int count(Predicate<Arrival> which) {
+        return (int) window.stream().filter(which).count();
+    }
+
     /** N + 2 x root of N + 2 for the span that ends now. */
     double most(double now) {
         double n = rule.overloadMultiple() * capacityPerMs * (capacityUntil(now)
@@ -73,6 +92,11 @@
         return worstWindow;
     }
 
+    /** Whether a window was over its budget by the doing of senders that had been told of the outage. */
+    boolean isBroken() {
+        return broken;
+    }
+
     /** Its share of capacity, summed over the time from the return. */
     private double capacityUntil(double time) {
         double since = time - returnedAt;
--- a/src/main/java/kestreldeal/scale/fleet/Counts.java
+++ b/src/main/java/kestreldeal/scale/fleet/Counts.java
@@ -36,6 +36,8 @@
     long falls;
     /** Falls by the doing of senders that had been told of the outage. */
     long brokenReturns;
+    /** Returns with a window over the budget of which over two thirds came from such senders. */
+    long toldOverBudget;
     long restarts;
     long changes;
     long callsAfterWord;
@@ -55,13 +57,15 @@
         deliveryMs.recordValue(Math.round(tookMs));
     }
 
-    void coldReturnOver(ColdReturn.Window worst) {
-        coldReturns.add(worst);
+    void coldReturnOver(ColdReturn seen) {
+        coldReturns.add(seen.worst());
+        toldOverBudget += seen.isBroken() ? 1 : 0;
     }
 
     /** The window with the highest ratio of calls to what may come; one of nothing if there was none. */
     ColdReturn.Window worstWindow() {
-        return coldReturns.stream().reduce(new ColdReturn.Window(0, 0, 0, 0), (a, b) -> b.ratio() > a.ratio() ? b : a);
+        return coldReturns.stream().reduce(ColdReturn.Window.NONE,
+                (a, b) -> b.ratio() > a.ratio() ? b : a);
     }
 
     /** Returns of which a window had more than may come. */
@@ -114,8 +118,12 @@
         all.put("coldWorstCalls", worst.calls());
         all.put("coldWorstMost", worst.most());
         all.put("coldWorstToldCalls", worst.told());
+        all.put("coldWorstHeldUpCalls", worst.heldUp());
+        all.put("coldWorstTrials", worst.trials());
+        all.put("coldWorstAfter", worst.after().toString());
         all.put("coldWorstEndMs", worst.endMs());
         all.put("coldOverBudget", overBudget());
+        all.put("coldToldOverBudget", toldOverBudget);
         all.put("falls", falls);
         all.put("brokenReturns", brokenReturns);
         all.put("restarts", restarts);
--- a/src/main/java/kestreldeal/scale/fleet/FleetCommand.java
+++ b/src/main/java/kestreldeal/scale/fleet/FleetCommand.java
@@ -32,6 +32,10 @@
     private static final double PROGRESS_NANOS = 5e9;
     private static final int MOST_SENDERS = 10_000;
 
+    private static final List<String> HEADS = List.of("senders", "asked", "in time", "late", "refused", "failed",
+            "away", "calls", "calls refused", "trials", "copies", "wasted", "returns", "over", "told", "worst",
+            "calls/most", "fell", "in force ms", "after word");
+
     @Spec
     private CommandSpec spec;
 
@@ -50,11 +54,16 @@
             + " from all senders together. Default: ${DEFAULT-VALUE}.")
     private double rate;
 
+    @Option(names = "--rate-a-sender", paramLabel = "RATE", description = "Messages a second for each sender, instead"
+            + " of --rate: destinations then grow with the senders.")
+    private Optional<Double> rateASender = Optional.empty();
+
     @Option(names = "--seconds", defaultValue = "120",
             description = "Simulated seconds in which messages come. Default: ${DEFAULT-VALUE}.")
     private double seconds;
 
-    @Option(names = "--seed", defaultValue = "1", description = "Everything is drawn from it. Default: ${DEFAULT-VALUE}.")
+    @Option(names = "--seed", defaultValue = "1",
+            description = "Everything is drawn from it. Default: ${DEFAULT-VALUE}.")
     private long seed;
 
     @Option(names = "--no-falls", description = "Cold destinations stand what is over their budget, so that the worst"
@@ -99,7 +108,8 @@
         require(!senders.isEmpty() && senders.stream().allMatch(n -> n >= 1 && n <= MOST_SENDERS),
                 "--senders are numbers from 1 to " + MOST_SENDERS);
         require(destinations >= 1, "--destinations is 1 at least");
-        require(rate > 0 && rate < Double.POSITIVE_INFINITY, "--rate is above 0");
+        require(isRate(rate), "--rate is above 0");
+        require(rateASender.map(FleetCommand::isRate).orElse(true), "--rate-a-sender is above 0");
         require(seconds >= 1 && seconds <= 86_400, "--seconds is from 1 to 86400");
         require(mostRealSeconds > 0, "--most-real-seconds is above 0");
         long entries = (long) (destinations * ENDPOINTS_A_DESTINATION);
@@ -110,6 +120,10 @@
                 needed >> 20, Runtime.getRuntime().maxMemory() >> 20));
     }
 
+    private static boolean isRate(double rate) {
+        return rate > 0 && rate < Double.POSITIVE_INFINITY;
+    }
+
     private void require(boolean holds, String text) {
         if (!holds) {
             throw new CommandLine.ParameterException(spec.commandLine(), text);
@@ -119,8 +133,9 @@
     private void play(Scenario scenario, Results results) throws IOException {
         List<List<?>> rows = new ArrayList<>();
         for (int size : senders) {
-            FleetSettings settings = new FleetSettings(size, destinations, rate, seconds, seed, scenario, !noFalls,
-                    Model.STANDARD);
+            double rateOfEach = rateASender.map(each -> each * size / destinations).orElse(rate);
+            FleetSettings settings = new FleetSettings(size, destinations, rateOfEach, seconds, seed, scenario,
+                    !noFalls, Model.STANDARD);
             long startedAt = System.nanoTime();
             Fleet fleet = new Fleet(settings);
             Counts counts = fleet.run(watch(scenario + " with " + size + " senders"));
@@ -129,7 +144,7 @@
             line.put("senders", size);
             line.put("destinations", destinations);
             line.put("endpoints", fleet.endpoints().size());
-            line.put("rate", rate);
+            line.put("rate", rateOfEach);
             line.put("seconds", seconds);
             line.put("falls", !noFalls);
             line.putAll(counts.figures());
@@ -138,10 +153,10 @@
             results.line("fleet", line);
             rows.add(row(size, counts));
         }
-        results.table(scenario + ": " + destinations + " destinations, " + plain(rate)
-                + " messages/s each, " + plain(seconds) + " s, seed " + seed, List.of("senders", "asked",
-                "in time", "late", "refused", "failed", "away", "calls", "calls refused", "trials", "copies", "wasted",
-                "returns", "over", "worst", "calls/most", "fell", "in force ms", "after word"), rows);
+        String load = rateASender.map(each -> plain(each) + " messages/s a sender")
+                .orElse(plain(rate) + " messages/s for each");
+        results.table(String.format(Locale.ROOT, "%s: %d destinations, %s, %s s, seed %d", scenario, destinations, load,
+                plain(seconds), seed), HEADS, rows);
     }
 
     private static List<Object> row(int size, Counts c) {
@@ -149,9 +164,9 @@
         return List.of(size, c.asked, share(c.inTime, c.asked), share(c.late, c.asked),
                 share(c.refusedToClients, c.asked), share(c.failed, c.asked),
                 share(c.turnedAway + c.unanswered, c.asked), c.callsWritten, c.refusedShare(), c.trials, c.copyShare(),
-                c.wastedShare(), c.coldReturns.size(), c.overBudget(), worst.ratio(),
-                worst.calls() + "/" + String.format(Locale.ROOT, "%.1f", worst.most()), c.falls, c.inForceAtAllMs.getMaxValue(),
-                c.callsAfterWord);
+                c.wastedShare(), c.coldReturns.size(), c.overBudget(), c.toldOverBudget, worst.ratio(),
+                String.format(Locale.ROOT, "%d/%.1f", worst.calls(), worst.most()), c.falls,
+                c.inForceAtAllMs.getMaxValue(), c.callsAfterWord);
     }
 
     private static double share(long part, long all) {
--- a/src/main/java/kestreldeal/scale/fleet/HollowEndpoint.java
+++ b/src/main/java/kestreldeal/scale/fleet/HollowEndpoint.java
@@ -102,14 +102,14 @@
         } else if (next == State.SILENT || next == State.HUNG) {
             lose();
         }
-        partner.endpointChanged(fleet.world().now());
+        partner.endpointChanged(fleet.world().now(), next);
     }
 
     /** Its process ends, after a drain. */
     void end() {
         gone = true;
         reset();
-        partner.endpointChanged(fleet.world().now());
+        partner.endpointChanged(fleet.world().now(), State.REFUSING);
     }
 
     /** What it has is reset, and so are connections that rest. */
@@ -137,7 +137,7 @@
             return;
         }
         fleet.counts().callsReceived++;
-        Optional<ColdReturn.Window> tooMuch = partner.arrived(now, call.sender);
+        Optional<ColdReturn.Window> tooMuch = partner.arrived(now, call);
         if (tooMuch.isPresent() && fleet.settings().falls()) {
             fleet.fall(partner, tooMuch.get());
             return;
--- a/src/main/java/kestreldeal/scale/fleet/HollowSender.java
+++ b/src/main/java/kestreldeal/scale/fleet/HollowSender.java
@@ -330,7 +330,7 @@
         int count = message.attempts.size();
         fleet.counts().copies += copy ? 1 : 0;
         fleet.counts().firstSends += count == 0 ? 1 : 0;
-        fleet.counts().trials += isDown(endpointId) ? 1 : 0;
+        fleet.counts().trials += heldAs(endpointId) == Relay.State.DOWN ? 1 : 0;
         SimMessage.Attempt attempt = new SimMessage.Attempt(endpoint, world.now());
         message.attempts.add(attempt);
         Call.Item item = new Call.Item(message, count, attempt);
@@ -344,14 +344,14 @@
         });
     }
 
-    private boolean isDown(long endpoint) {
-        return Optional.ofNullable(health.get(endpoint)).filter(h -> h.state() == Relay.State.DOWN).isPresent();
+    private Relay.State heldAs(long endpoint) {
+        return Optional.ofNullable(health.get(endpoint)).map(Relay.Health::state).orElse(Relay.State.UP);
     }
 
     private Call callTo(HollowEndpoint endpoint) {
         List<Call> calls = forming.computeIfAbsent(endpoint.id, unknown -> new ArrayList<>());
         if (calls.isEmpty() || calls.get(calls.size() - 1).items.size() >= endpoint.partner.type.batch()) {
-            calls.add(new Call(this, life, endpoint));
+            calls.add(new Call(this, life, endpoint, heldAs(endpoint.id)));
         }
         return calls.get(calls.size() - 1);
     }
--- a/src/main/java/kestreldeal/scale/fleet/Partner.java
+++ b/src/main/java/kestreldeal/scale/fleet/Partner.java
@@ -33,6 +33,7 @@
     private boolean out;
     private double outAt;
     private double backAt;
+    private HollowEndpoint.State outBy = HollowEndpoint.State.SERVING;
     private Relay.Report report = Relay.Report.NONE;
     private double reportUntil;
 
@@ -96,22 +97,22 @@
     }
 
     /** An endpoint serves, or does no longer. */
-    void endpointChanged(double now) {
+    void endpointChanged(double now, HollowEndpoint.State state) {
         boolean serves = endpoints.stream().anyMatch(HollowEndpoint::serves);
         if (serves == !out) {
             return;
         }
         out = !serves;
         if (out) {
-            cold.ifPresent(c -> counts.coldReturnOver(c.worst()));
-            cold = Optional.empty();
+            coldReturnOver();
             toldSenders.clear();
             outAt = now;
+            outBy = state;
             backAt = Double.POSITIVE_INFINITY;
             counts.outages++;
         } else {
             backAt = now;
-            cold = Optional.of(new ColdReturn(capacityPerMs, rule, now));
+            cold = Optional.of(new ColdReturn(capacityPerMs, rule, now, outBy));
         }
     }
 
@@ -123,16 +124,17 @@
     }
 
     /** A call has reached it; the window that is over the budget by that, if it is cold and one is. */
-    Optional<ColdReturn.Window> arrived(double now, HollowSender from) {
+    Optional<ColdReturn.Window> arrived(double now, Call call) {
         if (cold.filter(c -> c.isOver(now)).isPresent()) {
             coldReturnOver();
         }
-        return cold.map(c -> c.arrived(now, toldSenders.get(from.number))).filter(window -> window.ratio() > 1);
+        return cold.map(c -> c.arrived(now, toldSenders.get(call.sender.number), call.heldAs))
+                .filter(window -> window.ratio() > 1);
     }
 
     /** What was seen of a return that is over, or that the run has ended. */
     void coldReturnOver() {
-        cold.ifPresent(c -> counts.coldReturnOver(c.worst()));
+        cold.ifPresent(counts::coldReturnOver);
         cold = Optional.empty();
     }
 }
--- a/src/test/java/kestreldeal/scale/fleet/FleetCommandTest.java
+++ b/src/test/java/kestreldeal/scale/fleet/FleetCommandTest.java
@@ -52,9 +52,19 @@
         assertEquals(lines, results("two"));
     }
 
+    @Test
+    void destinationsGrowWithTheSendersWhereTheirRateIsGiven() throws IOException {
+        Path out = folder.resolve("a-sender");
+        assertEquals(0, run("steady", "--senders", "2,20", "--destinations", "4", "--seconds", "5", "--rate-a-sender",
+                "3", "--out", out.toString()), err.toString());
+        List<String> lines = Files.readAllLines(out);
+        assertEquals(1.5, new ObjectMapper().readTree(lines.get(0)).get("rate").asDouble());
+        assertEquals(15, new ObjectMapper().readTree(lines.get(1)).get("rate").asDouble());
+    }
+
     @ParameterizedTest
-    @CsvSource({"--senders,0", "--senders,20000", "--destinations,0", "--rate,0", "--rate,NaN", "--seconds,0",
-            "--seconds,100000", "--most-real-seconds,0", "--destinations,100000000"})
+    @CsvSource({"--senders,0", "--senders,20000", "--destinations,0", "--rate,0", "--rate,NaN", "--rate-a-sender,0",
+            "--seconds,0", "--seconds,100000", "--most-real-seconds,0", "--destinations,100000000"})
     void badValuesEndWithOneMessage(String option, String value) {
         assertEquals(2, run(option, value));
         assertTrue(err.toString().startsWith(option) || err.toString().contains("MB of heap"), err.toString());
