--- a/src/main/java/kestreldeal/scale/ModuleProbe.java
+++ b/src/main/java/kestreldeal/scale/ModuleProbe.java
@@ -63,6 +63,7 @@
         Map<String, Object> values = switch (args[0]) {
             case ModuleSlopes.WAITING -> waiting(size, seed, percent);
             case ModuleSlopes.LISTED -> listed(size, seed, percent);
+            case ModuleSlopes.BOTH -> both(size, seed, percent);
             case ModuleSlopes.TRAFFIC -> going(size, GOING, seed, percent);
             case ModuleSlopes.GOING -> going(MOST_GOING, size, seed, percent);
             default -> throw new IllegalArgumentException("unknown measurement " + args[0]);
@@ -110,14 +111,7 @@
         probe.turn();
         long after = heldBytes();
         Map<String, Object> values = new LinkedHashMap<>();
-        probe.measure("turn", percent, values, () -> {
-            probe.relay.wake(probe.now);
-            return probe.turn();
-        });
-        probe.measure("change", percent, values, () -> {
-            probe.relay.endpoints(probe.now, false, List.of(probe.entry(probe.random.nextInt(size), ENDPOINTS_EACH)));
-            return probe.turn();
-        });
+        probe.measureTurnAndChange(size, percent, values);
         if (probe.relay.standing().listed() != size) {
             throw new IllegalStateException(probe.relay.standing().listed() + " endpoints are listed");
         }
@@ -125,6 +119,35 @@
         return values;
     }
 
+    /** So many endpoints listed, and as many messages that wait for all their destinations while all slots are taken. */
+    private static Map<String, Object> both(int size, long seed, int percent) {
+        ModuleProbe probe = new ModuleProbe(DESTINATIONS, seed);
+        probe.turn();
+        long before = heldBytes();
+        probe.list(size, ENDPOINTS_EACH);
+        probe.handIn(DESTINATIONS + size, (int) (size / ENDPOINTS_EACH));
+        probe.turn();
+        long after = heldBytes();
+        Map<String, Object> values = new LinkedHashMap<>();
+        probe.measureTurnAndChange(size, percent, values);
+        if (probe.sent.size() != DESTINATIONS || probe.answers != 0) {
+            throw new IllegalStateException("not all of them waited to the end");
+        }
+        values.put("bytes_each", (double) (after - before) / size);
+        return values;
+    }
+
+    private void measureTurnAndChange(int size, int percent, Map<String, Object> values) {
+        measure("turn", percent, values, () -> {
+            relay.wake(now);
+            return turn();
+        });
+        measure("change", percent, values, () -> {
+            relay.endpoints(now, false, List.of(entry(random.nextInt(size), ENDPOINTS_EACH)));
+            return turn();
+        });
+    }
+
     /** Destinations that have had traffic; a turn in which so many messages go, and one in which they end. */
     private static Map<String, Object> going(int destinations, int messages, long seed, int percent) {
         ModuleProbe probe = new ModuleProbe(4 * MOST_GOING, seed);
--- a/src/main/java/kestreldeal/scale/ModuleSlopes.java
+++ b/src/main/java/kestreldeal/scale/ModuleSlopes.java
@@ -6,6 +6,7 @@
 final class ModuleSlopes {
     static final String WAITING = "waiting";
     static final String LISTED = "listed";
+    static final String BOTH = "both";
     static final String TRAFFIC = "traffic";
     static final String GOING = "going";
 
@@ -22,6 +23,9 @@
                 slope(LISTED, "endpoints listed, 1.6 a destination, nothing waiting", TWO_DECADES, SMALL,
                         List.of("turn_us", "turn_allocated_bytes", "change_us", "change_allocated_bytes",
                                 "bytes_each")),
+                slope(BOTH, "endpoints listed and as many messages waiting for all destinations, all slots taken",
+                        TWO_DECADES, List.of(300, 10_000), List.of("turn_us", "turn_allocated_bytes", "change_us",
+                                "change_allocated_bytes", "bytes_each")),
                 slope(TRAFFIC, "destinations with traffic, 16 messages go in a turn",
                         List.of(100, 300, 1000, 3000, 10_000), List.of(30, 300),
                         List.of("turn_us", "turn_allocated_bytes")),
--- a/src/test/java/kestreldeal/WalkingLogic.java
+++ b/src/test/java/kestreldeal/WalkingLogic.java
@@ -19,132 +19,74 @@
  * The reference for {@link Logic}: its decisions as they were taken by walking all that waits in each turn and all that
  * is listed in each change, before they had indexes. Amended in three places only: after a send the walk begins at the
  * top again, so that a refused message which the throttle held back goes before less pressing ones once a first send
- * has made room; and a destination's part of what is asked for is compared with a margin, as the sum is rounded
- * differently. A late answer ends no outage as in the module: that decision is a newer one.
+ * has made room; a destination's part of what is asked for is compared with a margin, as the sum is rounded
+ * differently; and a late answer ends an outage as it does in the module now, which is a newer decision. What the parts and
+ * constants are is said there.
  */
 final class WalkingLogic implements Relay {
-    // The wave.
-    /** Share of the aim after which a copy is scheduled (the design's default). */
     private static final double COPY_OFFSET = 0.5;
-    /** Copies over the period: this many, and this share of the first sends (the design's default). */
     private static final double COPY_BASE = 1;
     private static final double COPY_SHARE = 0.1;
     private static final double THROTTLE_PERIOD_MS = 10_000;
-    /** New waves of refused messages, alike. */
     private static final double RETRY_BASE = 2;
     private static final double RETRY_SHARE = 0.3;
-    /** First pause before a new wave and its growth, lest quick errors or many senders burn all attempts. */
     private static final double BACKOFF_MS = 200;
     private static final double BACKOFF_GROWTH = 3;
-    /** A keyed repeat stays this far inside its window, for the time that it travels. */
     private static final double WINDOW_MARGIN_MS = 300;
-
-    // Time-outs: the aim and a quarter at least, more where answers are seen to take longer.
     private static final double TIMEOUT_AIMS = 1.25;
     private static final double TIMEOUT_DEVIATIONS = 8;
-    /** An unsafe message has one try that may run, which may take this share of its deadline at least. */
     private static final double UNSAFE_PATIENCE = 0.33;
-    /** Weight of a new answer time in the running mean and deviation. */
     private static final double LATENCY_WEIGHT = 0.15;
-    /** Answer time assumed of an endpoint that has not answered yet. */
     private static final double FIRST_LATENCY_MS = 250;
-
-    /** An endpoint that answers in so long, in the mean, gives its slots back soon. */
     private static final double QUICK_MS = 250;
-
-    /** No call is called off for another's sake before it has been out for so long. */
     private static final double CALL_OFF_LEAST_MS = 200;
-
-    // Pace.
-    /** A pace is cut to this share: at first of the last second's sends. */
     private static final double PACE_CUT = 0.7;
-    /** A pace stands for no more than this multiple of what was sent of late: unused, it only grows. */
     private static final double PACE_OVER_SENT = 1.3;
-    /** Growth of a pace with each delivery where answers don't tell how much of the limit is left. */
     private static final double PACE_GROWTH = 0.05;
-    /** Where they do, a pace turns to where this share is, by this gain a second, up to so many at once. */
     private static final double LEFT_AIM = 0.5;
     private static final double LEFT_GAIN = 0.6;
     private static final double LEFT_SECONDS = 3;
-    /**
-     * Longest interval of a pace after one refusal where no rate is known, lest a thin stream's message wait;
-     * so many times as long with each further one. At a known rate a hundred senders would be too fast.
-     */
     private static final double PACE_PAUSE_MS = 500;
     private static final double PACE_PAUSE_GROWTH = 3;
     private static final int PACE_PAUSES = 4;
-    /** Slowest pace, as a share of the messages that this sender takes for the destination. */
     private static final double PACE_LEAST_SHARE = 0.2;
-    /** The same as a share of the even part of a listed rate, which may be half too high. */
     private static final double LISTED_SHARE = 0.5;
-    /**
-     * The same as a share of an even part of the rate that its answers tell: less with each refusal in a row,
-     * as others may take more. Guards against a pace that a clump cut and few deliveries let grow back.
-     */
     private static final double TOLD_SHARE = 0.9;
-    /** Weight of a newly told rate, which counts as at most so many times more or less than those before. */
     private static final double TOLD_WEIGHT = 0.2;
     private static final double TOLD_STEP = 2;
-    /** Idle for so long, a destination loses pace and counts (the design's figure). */
     private static final double IDLE_MS = 60_000;
-
-    /** A told wait is kept, and a wake counts as come, within this much: clocks are rounded. */
     private static final double CLOCK_MARGIN_MS = 1;
-
-    // Health.
-    /** Evidence, 0 to 1: each bad outcome closes this share of the gap to 1, each good one multiplies it. */
     private static final double BAD_WEIGHT = 0.2;
     private static final double UNREACHABLE_WEIGHT = 0.6;
     private static final double GOOD_FACTOR = 0.6;
-    /** From here on an endpoint counts as down: five bad outcomes in a row, or a failed connect. */
     private static final double DOWN_AT = 0.6;
-    /** Overdue calls without any answer since, after which an endpoint counts as silent. */
     private static final int SILENT_CALLS = 2;
     private static final double SILENT_DEVIATIONS = 4;
-    /** Bad ends or refusals in a row over at least so long, without a delivery, mean shut or dead. */
     private static final int SHUT_ENDS = 3;
     private static final double SHUT_MS = 2500;
-    /** Pause between trials of what is down: least; at most, times the senders and in warm-ups. */
     private static final double TRIAL_LEAST_MS = 500;
     private static final double TRIAL_MOST = 4;
-    /** Share of the rule's budget that the ramp of a returning endpoint uses; the rest is for chance. */
     private static final double RAMP_SAFETY = 0.7;
-    /** Time over which an endpoint's carried rate is averaged, and the shortest that counts. */
     private static final double CARRIED_MS = 10_000;
-    /** Share of the messages taken for a destination that it is trusted to carry, if it was not seen to. */
     private static final double DEMAND_SHARE = 0.7;
     private static final double CARRIED_LEAST_MS = 2000;
-
-    /** An endpoint that has left the list is forgotten after so long. */
     private static final double GONE_MS = 30_000;
-
-    // Connections.
-    /** A connection without use for so long counts as idle. */
     private static final double IDLE_LEAST_MS = 100;
-    /** Trust after a loss, as a share of the time that the connection had idled; forgotten after so long. */
     private static final double TRUST_CUT = 0.25;
     private static final double TRUST_MEMORY_MS = 30_000;
-
-    // The queue.
-    /** Rank is the worth lost by waiting so much longer: about as long as a queue under pressure takes. */
     private static final double RANK_HORIZON_MS = 1500;
-    /** Weight of plain worth in the rank, to settle ties between messages that lose nothing yet. */
     private static final double RANK_WORTH = 0.01;
-    /** Time worth a fee of one point: about what a message loses in worth when it waits so long. */
     private static final double FEE_MS = 25_000;
     private static final Comparator<Delivery> PRESSING_FIRST =
             Comparator.comparingDouble((Delivery d) -> -d.rank).thenComparingDouble(d -> d.aimAt);
-    /** Time before the deadline at which a message that is not out is answered. */
     private static final double ANSWER_MARGIN_MS = 5;
 
     private final Settings settings;
     private final Actions actions;
     private final Random random;
-    /** Some calls carry several messages, so that a message can go without a free slot. */
     private final boolean joins;
     private final Map<Long, Target> targets = new LinkedHashMap<>();
     private final Map<Long, Destination> destinations = new LinkedHashMap<>();
-    /** What an earlier life knew of endpoints that no list has named in this one. */
     private final Map<Long, Consumer<Target>> recalled = new LinkedHashMap<>();
     private final Map<Long, Delivery> deliveries = new LinkedHashMap<>();
     private final Set<Delivery> queue = new LinkedHashSet<>();
@@ -167,7 +109,6 @@
         this.joins = settings.kinds().stream().anyMatch(kind -> kind.batch() > 1);
     }
 
-    // ---- events ----
 
     @Override
     public void endpoints(double now, boolean whole, List<Endpoint> entries) {
@@ -195,7 +136,6 @@
         take(message).destination.demand.count();
     }
 
-    /** Demand is not counted: what comes back at once was asked for over a time that nobody knows. */
     @Override
     public void resumed(double now, Message message, List<EarlierAttempt> attempts) {
         tick(now);
@@ -343,7 +283,6 @@
         return destinations.computeIfAbsent(id, unknown -> new Destination());
     }
 
-    /** Forgets the times that lie further back. */
     private void trim(Deque<Double> times, double periodMs) {
         while (!times.isEmpty() && times.peek() < clock - periodMs) {
             times.remove();
@@ -357,12 +296,7 @@
         clock = now;
     }
 
-    // ---- decisions ----
 
-    /**
-     * Sends what waits, the most pressing first, as far as gates and slots allow. It ranks only what its
-     * destination's gates and slots let pass: a jam must not take the CPU too.
-     */
     private void dispatch() {
         List<Delivery> ranked = new ArrayList<>();
         List<Delivery> lacking = new ArrayList<>();
@@ -400,18 +334,11 @@
         }
     }
 
-    /** Whether nothing but a slot keeps it from being sent. */
     private boolean lacksSlot(Delivery d) {
         return d.out == 0 && d.destination.targets.stream()
                 .anyMatch(t -> t.isOpen() && !t.hasSlot() && allows(d, t));
     }
 
-    /**
-     * Calls off the call that has been out longest by the measure of its endpoint, if it is out of patience
-     * and may be repeated. Guards against a few unanswered calls that hold all slots till their time-outs. An
-     * endpoint that is merely slow gets more patience with each. What is called off counts as overdue, lest a
-     * silent endpoint count as up and take those slots again.
-     */
     private void freeSlot() {
         if (!settings.cancels()) {
             return;
@@ -426,7 +353,6 @@
                 });
     }
 
-    /** The endpoint to send to among those that the gate lets pass; a copy goes elsewhere if it can. */
     private Optional<Target> choose(Delivery d, boolean copy) {
         List<Target> all = d.destination.targets;
         boolean elsewhere = copy && all.stream().anyMatch(t -> t.serving && !d.isOutAt(t));
@@ -435,13 +361,11 @@
                 .min(Comparator.comparingDouble(t -> t.cost(d)));
     }
 
-    /** The gate that every send passes: first send, copy and new wave. */
     private boolean maySend(Delivery d, Target target) {
         return allows(d, target) && (target.mayJoin()
                 || target.hasSlot() && target.isOpen());
     }
 
-    /** The gates that hold for any send of the message there, whether it takes a slot or joins a call. */
     private boolean allows(Delivery d, Target target) {
         return !d.ended && target.serving
                 && clock < d.deadline - ANSWER_MARGIN_MS
@@ -453,13 +377,11 @@
                 && clock + target.expectedEnd(d.type) <= closesAt;
     }
 
-    /** Whether one more attempt there keeps the promise that no effect happens twice. */
     private boolean mayRepeat(Delivery d, Target target) {
         return mayRepeat(d) && !(d.type.effect() == Effect.KEYED && d.type.sameZone()
                 && d.attempts.stream().anyMatch(a -> (a.out || a.mayHaveRun) && !a.isInZoneOf(target)));
     }
 
-    /** The same wherever the attempt may go, as far as time and effect alone tell. */
     private boolean mayRepeat(Delivery d) {
         for (Attempt earlier : d.attempts) {
             if (!earlier.out && !earlier.mayHaveRun) {
@@ -492,7 +414,6 @@
         started(attempt, Optional.of(call), copy);
     }
 
-    /** An attempt is out, in a call if its endpoint is listed: it may be copied, and the call be overdue. */
     private void started(Attempt attempt, Optional<Call> call, boolean copy) {
         Delivery d = attempt.delivery;
         attempt.call = call;
@@ -508,7 +429,6 @@
         call.ifPresent(c -> timers.add(attempt.sentAt + Math.max(offset, c.target.patience()), c::overdue));
     }
 
-    /** The scheduled offset after a send: a copy may join the wave. */
     private void offsetPassed(Delivery d, Attempt attempt) {
         boolean races = attempt.out && d.type.effect() != Effect.UNSAFE && settings.copies();
         if (races && !d.ended && slotsUsed < settings.slots() && copies.allows()) {
@@ -516,7 +436,6 @@
         }
     }
 
-    /** Every attempt has ended retryable: wait for a new wave, unless no further attempt can be allowed. */
     private void nextWave(Delivery d) {
         giveUpInTime(d);
         if (d.ended) {
@@ -529,10 +448,6 @@
         timers.add(d.notBefore, () -> { });
     }
 
-    /**
-     * Answers at once what no further attempt can be allowed for: now, or when a keyed message's window has
-     * passed. Guards against an answer that is held back until the deadline, when it is of no more use.
-     */
     private void giveUpInTime(Delivery d) {
         if (!mayGoOn(d)) {
             finish(d);
@@ -546,14 +461,12 @@
         }
     }
 
-    /** Whether a further attempt can still be allowed somewhere, be it at an endpoint that is yet to come. */
     private boolean mayGoOn(Delivery d) {
         return d.attempts.size() < settings.maxAttempts() && clock < d.deadline - ANSWER_MARGIN_MS
                 && (d.destination.targets.isEmpty() ? mayRepeat(d)
                         : d.destination.targets.stream().anyMatch(t -> mayRepeat(d, t)));
     }
 
-    /** The final answer of what waits undelivered: refused where trying again is harmless, else failed. */
     private void finish(Delivery d) {
         if (d.ended || d.out > 0) {
             return;
@@ -568,7 +481,6 @@
         close(d);
     }
 
-    /** Ends a message and cancels what is redundant. */
     private void close(Delivery d) {
         if (d.ended) {
             return;
@@ -590,16 +502,13 @@
         }
     }
 
-    /** When the next gate opens by time alone for a message that waits. */
     private double nextOpening() {
         return destinations.values().stream().filter(to -> to.seenTurn == turn)
                 .flatMap(to -> to.targets.stream()).filter(t -> t.serving).mapToDouble(Target::gatesOpenAt)
                 .filter(at -> at > clock).min().orElse(Double.POSITIVE_INFINITY);
     }
 
-    // ---- parts ----
 
-    /** A message and its wave. */
     private final class Delivery {
         final Message message;
         final MessageClass type;
@@ -621,12 +530,9 @@
             this.deadline = clock + message.timeLeftMs();
             this.aimAt = deadline - type.deadlineMs() + type.aimMs();
         }
-
         boolean isOutAt(Target target) {
             return attempts.stream().anyMatch(a -> a.out && a.target.filter(t -> t == target).isPresent());
         }
-
-        /** Worth when delivered at that time. */
         double worthAt(double time) {
             if (time > deadline) {
                 return 0;
@@ -637,17 +543,12 @@
                     : 1 - (1 - type.lateWorth()) * late / Math.max(1, type.deadlineMs() - type.aimMs());
             return type.worth() * share;
         }
-
         double rank() {
             double worth = worthAt(clock);
             return worth - worthAt(clock + RANK_HORIZON_MS) + RANK_WORTH * worth;
         }
     }
 
-    /**
-     * One attempt of a message; those of an earlier life have no call and hold nothing, unless they are still
-     * out, and their endpoint may have left the list since.
-     */
     private final class Attempt {
         final Delivery delivery;
         final Optional<Target> target;
@@ -663,24 +564,19 @@
             this.sentAt = sentAt;
             delivery.attempts.add(this);
         }
-
-        /** How long it has been out, by its endpoint's patience, which grows with calls called off before. */
         double overPatience() {
             return target.map(t -> (clock - sentAt)
                     / (Math.max(t.patience(), CALL_OFF_LEAST_MS) * (1 + t.calledOff))).orElse(0.0);
         }
-
         boolean isInZoneOf(Target other) {
             return target.filter(t -> t.entry.zone() == other.entry.zone()).isPresent();
         }
     }
 
-    /** Messages that travel as one: one slot, one fate. */
     private final class Call {
         final Target target;
         final double sentAt;
         final long sentTurn = turn;
-        /** Its number in the process that made it, if that was another one. */
         final OptionalLong earlier;
         final double idledMs;
         int items;
@@ -723,46 +619,34 @@
         }
     }
 
-    /** A destination: its endpoints and, where they share one, its limit. */
     private final class Destination {
         final List<Target> targets = new ArrayList<>();
         final Limit shared = new Limit(this);
         final Rate demand = new Rate();
         int out;
-        /** The last turn in which a message waited for it; whether gates and slots let calls pass then. */
         long seenTurn = -1;
         boolean openInTurn;
         boolean slotInTurn;
 
-        /** Endpoints that share its messages. */
         long serving() {
             return Math.max(1, targets.stream().filter(t -> t.serving).count());
         }
-
-        /** Whether the pace, waits and health of any of its endpoints let a call pass. */
         boolean isOpen() {
             return targets.stream()
                     .anyMatch(t -> t.serving && (t.mayJoin() || t.limit.waitUntil <= clock && t.isOpen()));
         }
-
-        /** Whether a slot is free for a call to any of its endpoints. */
         boolean hasSlot() {
             return targets.stream().anyMatch(t -> t.serving && t.hasSlot());
         }
-
-        /** Its part of all that is asked for. */
         double part() {
             return demand.events / destinations.values().stream().mapToDouble(to -> to.demand.events).sum();
         }
-
-        /** When it is worth coming back: the first opening, or now where none is known. */
         double opensAt() {
             return targets.stream().filter(t -> t.serving).mapToDouble(Target::gatesOpenAt).min()
                     .orElse(clock);
         }
     }
 
-    /** The pace and told wait of what shares one limit. Guards against refusals and broken waits. */
     private final class Limit {
         final Rate sends = new Rate();
         final Deque<Double> lastSecond = new ArrayDeque<>();
@@ -791,7 +675,6 @@
             }
         }
 
-        /** Many lives may end at one moment, and must not send what they held at another. */
         void resumed() {
             if (rate == Double.POSITIVE_INFINITY && evenPart(0) > 0) {
                 rate = evenPart(0);
@@ -799,12 +682,10 @@
             }
         }
 
-        /** Each message of a call may be told its own wait, in turns of its own. */
         void told(double waitMs) {
             waitUntil = waitMs > 0 ? Math.max(waitUntil, clock + waitMs + CLOCK_MARGIN_MS) : waitUntil;
         }
 
-        /** One answer's figure may be spoilt. */
         void says(double perSecond) {
             if (perSecond > 0 && perSecond < Double.POSITIVE_INFINITY) {
                 double said = perSecond / 1000;
@@ -813,17 +694,12 @@
             }
         }
 
-        /**
-         * Refusals of calls sent before the last cut are old news. Waits of all senders end at one moment:
-         * where a pace is slower than the wait it begins at random after it, lest they all come at once.
-         */
         void refused(Call call) {
             if (call.sentAt < cutAt) {
                 return;
             }
             boolean paced = rate < Double.POSITIVE_INFINITY;
             double edge = paced ? rate : lastSecond.size() / 1000.0;
-            // In one second the thin streams of many senders make no rate.
             edge = paced || evenPart(0) > 0 ? Math.min(edge, PACE_OVER_SENT * sends.perMs()) : edge;
             rate = Math.max(floor(), edge * PACE_CUT);
             pressed = Math.min(pressed + 1, PACE_PAUSES);
@@ -852,13 +728,10 @@
             sends.recall(known.sent());
             destination.demand.recall(known.demand());
         }
-
-        /** This sender's even part of the rate that is known, after so many refusals in a row. */
         double evenPart(int refusals) {
             double told = TOLD_SHARE * toldRate / (1 + refusals);
             return Math.max(LISTED_SHARE * listedRate, told) / settings.senders();
         }
-
         private double floor() {
             double part = evenPart(pressed);
             return Math.max(PACE_LEAST_SHARE * destination.demand.perMs(),
@@ -866,7 +739,6 @@
         }
     }
 
-    /** Events a millisecond over the last stretch of time in which they were watched. */
     private final class Rate {
         double events;
         double over;
@@ -879,22 +751,15 @@
             at = clock;
         }
 
-        /** Goes on from a rate that another process saw. */
         void recall(double perMs) {
             events = perMs * CARRIED_MS;
             over = CARRIED_MS;
         }
-
         double perMs() {
             return events / Math.max(over, CARRIED_LEAST_MS);
         }
     }
 
-    /**
-     * An endpoint and its health. Guards against dead, silent, failing and shut endpoints alike: when down,
-     * single trials replace the backlog; when it answers again, a ramp keeps within what a cold endpoint can
-     * take. It may hurt where an endpoint is merely slow.
-     */
     private final class Target {
         final Endpoint entry;
         final Destination destination;
@@ -904,7 +769,6 @@
         boolean serving;
         State state = State.UP;
         Call latest;
-        /** Its calls that are out, in the order sent. */
         final Deque<Call> calls = new ArrayDeque<>();
         double latency = FIRST_LATENCY_MS;
         double deviation = FIRST_LATENCY_MS / 2;
@@ -918,7 +782,6 @@
         double warmSince;
         double downAt;
         boolean silentOnly;
-        /** Since it is down it has itself failed or refused calls; a reset may be the network's doing. */
         boolean failing;
         double nextAt = Double.NEGATIVE_INFINITY;
         double usedAt = Double.NEGATIVE_INFINITY;
@@ -953,16 +816,9 @@
             serving = false;
             goneAt = Math.min(goneAt, clock);
         }
-
-        /** A list may leave one out by mistake: what is known of it stands for as long as it can matter. */
         boolean isForgotten() {
             return clock > goneAt + GONE_MS && calls.isEmpty() && limit.waitUntil <= clock;
         }
-
-        /**
-         * What sending there costs in time: the usual answer with its calls out, the last fruitless ends and
-         * the fee. A trial that is due goes first, lest it stay down for ever; unsafe messages avoid it.
-         */
         double cost(Delivery d) {
             if (state == State.DOWN) {
                 return (d.type.effect() == Effect.UNSAFE ? 1 : -1) * Double.POSITIVE_INFINITY;
@@ -970,7 +826,6 @@
             double freeShare = 1 - (double) slotsUsed / settings.slots();
             return latency * (1 + calls.size()) + fruitless * SHUT_MS + fee * FEE_MS * freeShare;
         }
-
         boolean mayJoin() {
             return latest != null && latest.sentTurn == turn && latest.items < batch && state != State.DOWN;
         }
@@ -986,20 +841,12 @@
             return latest;
         }
 
-        /** The call of another process that an attempt is still out in: it holds its slot until it ends. */
         Call adopt(EarlierAttempt attempt) {
             Call call = calls.stream().filter(c -> c.earlier.equals(attempt.outInCall())).findFirst()
                     .orElseGet(() -> new Call(this, attempt.sentAt(), attempt.outInCall()));
             call.itemsOut++;
             return call;
         }
-
-        /**
-         * A destination may hold fewer slots than stay free, lest a slow or silent one holds them all. One
-         * that answers quickly gives them back soon, so it may have all but one; the last one too while it
-         * holds less than its part by what is asked for, else those with no call out starve the busiest one.
-         * It may hurt where it goes silent, until a second call is out of patience.
-         */
         boolean hasSlot() {
             int free = settings.slots() - slotsUsed;
             boolean quick = latency <= QUICK_MS && lastGood > Double.NEGATIVE_INFINITY && calls.stream()
@@ -1007,46 +854,29 @@
             boolean lacks = destination.out + 1 + 1e-6 < settings.slots() * destination.part();
             return quick && free > (lacks ? 0 : 1) || free > 0 && destination.out < Math.max(1, free - 1);
         }
-
-        /** Whether pace and health let the next call go. */
         boolean isOpen() {
             return limit.nextAt <= clock && opensAt() <= clock;
         }
-
-        /** When its gates open, as far as time alone opens them. */
         double gatesOpenAt() {
             return Math.max(Math.max(limit.waitUntil, limit.nextAt), nextAt);
         }
-
-        /** When its health lets the next call go. */
         double opensAt() {
             return state == State.DOWN && !calls.isEmpty() ? Double.POSITIVE_INFINITY : nextAt;
         }
-
-        /** How long a usual answer may take here. */
         double patience() {
             return latency + SILENT_DEVIATIONS * deviation;
         }
-
-        /**
-         * How long a call may be out, as far as can be told before. What can't be repeated is not to be cut
-         * off: it gets the slowest answer to be reckoned with, not its time-out, longer than any close takes.
-         */
         double expectedEnd(MessageClass type) {
             return type.effect() == Effect.UNSAFE ? slowest() : patience();
         }
-
         private double slowest() {
             return latency + TIMEOUT_DEVIATIONS * deviation;
         }
-
         double timeout(MessageClass type) {
             double base = Math.max(type.aimMs() * TIMEOUT_AIMS, slowest());
             double patience = type.effect() == Effect.UNSAFE ? type.deadlineMs() * UNSAFE_PATIENCE : 0;
             return Math.max(base, patience);
         }
-
-        /** Pace while down or warming: the rule's budget, shared as the load was shared before. */
         double allowedRate() {
             ColdStart cold = settings.coldStart();
             double warm = state == State.DOWN ? 0 : (clock - warmSince) / cold.warmMs();
@@ -1057,7 +887,6 @@
             double rate = RAMP_SAFETY * cold.overloadMultiple() * capacity * known;
             double least = 1 / Math.min(TRIAL_LEAST_MS * settings.senders(), TRIAL_MOST * cold.warmMs());
             if (rate == 0) {
-                // Only messages of an earlier life are known here: the pace of trials, until more is seen.
                 return least;
             }
             return state == State.DOWN ? Math.max(least, Math.min(1 / TRIAL_LEAST_MS, rate)) : rate;
@@ -1081,9 +910,7 @@
                 up("is warm");
             }
         }
-
         private void good(Call call, AttemptEnd end) {
-            // No outage that would leave it cold fits between deliveries so close together.
             boolean blip = !failing && clock - lastGood < SHUT_MS;
             connections.held(call);
             bad *= GOOD_FACTOR;
@@ -1109,7 +936,6 @@
             }
             limit.delivered(end.report().left());
         }
-
         private void full(Call call, double waitMs) {
             limit.refused(call);
             if (noneGood() || waitMs >= SHUT_MS) {
@@ -1117,14 +943,12 @@
                 failing = true;
             }
         }
-
         private boolean noneGood() {
             if (fruitless++ == 0) {
                 fruitlessSince = clock;
             }
             return fruitless >= SHUT_ENDS && clock - fruitlessSince >= SHUT_MS;
         }
-
         private void bad(double weight, String symptom) {
             bad += (1 - bad) * weight;
             if (noneGood() || bad >= DOWN_AT) {
@@ -1140,16 +964,13 @@
                 silentOnly = !wasDown;
             }
         }
-
         private void up(String symptom) {
             state = State.UP;
             nextAt = clock;
-            // The time of the outage does not count.
             carried.at = clock;
             actions.log("endpoint " + entry.id() + " " + symptom);
             remember();
         }
-
         private void down(String symptom) {
             silentOnly = false;
             if (state != State.DOWN) {
@@ -1161,12 +982,10 @@
                 remember();
             }
         }
-
         private void remember() {
             actions.remember(entry.id(), new Health(state, clock, carried.perMs()));
         }
 
-        /** Goes on where an earlier life ended, lest a backlog push over what may just come back cold. */
         void recall(Health health) {
             state = health.state();
             carried.recall(health.carriedPerMs());
@@ -1180,16 +999,10 @@
         }
     }
 
-    /**
-     * Guards against connections that are dropped unseen: after losses on idle ones at two destinations,
-     * those that idled nearly so long are closed before use, until a delivery over one that idled as long.
-     */
     private final class Connections {
         private Optional<Call> suspect = Optional.empty();
         private double lostAt = Double.NEGATIVE_INFINITY;
         private boolean sure;
-
-        /** How long the connection that a call now takes has idled: 0 for one in use, or a new one. */
         double take(Target target) {
             double idle = !target.calls.isEmpty() ? 0 : clock - target.usedAt;
             if (clock > lostAt + TRUST_MEMORY_MS) {
@@ -1220,10 +1033,6 @@
         }
     }
 
-    /**
-     * Bounds extra sends, over all destinations, by a share of first sends: copies, lest a slow one double
-     * the load, and new waves of refused messages, as refused calls may use up a limit for good.
-     */
     private final class Throttle {
         private final double base;
         private final double share;
@@ -1238,7 +1047,6 @@
             extra.add(at);
             timers.add(at + THROTTLE_PERIOD_MS + CLOCK_MARGIN_MS, () -> { });
         }
-
         boolean allows() {
             trim(extra, THROTTLE_PERIOD_MS);
             trim(firstSends, THROTTLE_PERIOD_MS);
@@ -1246,16 +1054,13 @@
         }
     }
 
-    /** Messages in order by key: one at a time, as taken, and a rest after an end that may still run. */
     private final class KeyOrder {
         private final Map<String, Line> lines = new LinkedHashMap<>();
-
         private static final class Line {
             final Deque<Delivery> waiting = new ArrayDeque<>();
             double restUntil = Double.NEGATIVE_INFINITY;
             int out;
         }
-
         private Optional<Line> line(Delivery d) {
             return d.type.inOrder() ? d.message.key().map(lines::get) : Optional.empty();
         }
@@ -1266,14 +1071,12 @@
             }
         }
 
-        /** What was out in an earlier life may run on, so its key rests. */
         void resumed(Delivery d) {
             if (d.attempts.stream().anyMatch(a -> a.mayHaveRun)) {
                 line(d).ifPresent(l -> l.restUntil = clock + settings.keyRestMs());
                 timers.add(clock + settings.keyRestMs(), () -> drop(d));
             }
         }
-
         boolean mayGo(Delivery d) {
             return line(d).map(l -> l.waiting.peek() == d && l.out == d.out && l.restUntil <= clock)
                     .orElse(true);
@@ -1298,20 +1101,17 @@
             line(d).ifPresent(l -> l.waiting.remove(d));
             drop(d);
         }
-
         private void drop(Delivery d) {
             line(d).filter(l -> l.waiting.isEmpty() && l.out == 0 && l.restUntil <= clock)
                     .ifPresent(l -> lines.remove(d.message.key().get()));
         }
     }
 
-    /** What is due later, and the one wake that is asked for it. */
     private final class Timers {
         private final PriorityQueue<Timer> due =
                 new PriorityQueue<>(Comparator.comparingDouble(Timer::at).thenComparingLong(Timer::number));
         private long count;
         private double asked = Double.POSITIVE_INFINITY;
-
         private record Timer(double at, long number, Runnable action) {
         }
 
--- a/src/test/java/kestreldeal/scale/SlopesIT.java
+++ b/src/test/java/kestreldeal/scale/SlopesIT.java
@@ -98,6 +98,12 @@
         assertBetween(200, 900, largest("listed").get("bytes_each").asDouble());
     }
 
+    @Test
+    void bothTogetherCostATurnAndAChangeNoMore() {
+        assertBetween(-0.1, 0.1, exponent("both", "turn_allocated_bytes"));
+        assertBetween(-0.1, 0.1, exponent("both", "change_allocated_bytes"));
+    }
+
     @Test
     void aTurnWorksByTheMessagesThatGoAndNotByDestinations() {
         assertBetween(0.7, 1.2, exponent("going", "turn_allocated_bytes"));
