--- a/src/main/java/kestreldeal/scale/ModuleProbe.java
+++ b/src/main/java/kestreldeal/scale/ModuleProbe.java
@@ -95,9 +95,7 @@
         long after = heldBytes();
         Map<String, Object> values = new LinkedHashMap<>();
         probe.measure("turn", percent, values, probe::turn);
-        if (probe.sent.size() != DESTINATIONS || probe.answers != 0) {
-            throw new IllegalStateException("not all of them waited to the end");
-        }
+        probe.requireAllWaited();
         values.put("bytes_each", (double) (after - before) / size);
         return values;
     }
@@ -130,13 +128,17 @@
         long after = heldBytes();
         Map<String, Object> values = new LinkedHashMap<>();
         probe.measureTurnAndChange(size, percent, values);
-        if (probe.sent.size() != DESTINATIONS || probe.answers != 0) {
-            throw new IllegalStateException("not all of them waited to the end");
-        }
+        probe.requireAllWaited();
         values.put("bytes_each", (double) (after - before) / size);
         return values;
     }
 
+    private void requireAllWaited() {
+        if (sent.size() != DESTINATIONS || answers != 0) {
+            throw new IllegalStateException("not all of them waited to the end");
+        }
+    }
+
     private void measureTurnAndChange(int size, int percent, Map<String, Object> values) {
         measure("turn", percent, values, () -> {
             relay.wake(now);
