Keep deadlines, windows and ages by the monotonic clock, over the restarts of one boot

Change: all spans are of the monotonic clock, which on Linux runs on over processes. JournalTest.aTornTail... took half the file for the first record's end, which the new first record moves: it now cuts at every step down to that end, so more cuts than before.

--- a/src/main/java/kestreldeal/net/Held.java
+++ b/src/main/java/kestreldeal/net/Held.java
@@ -26,10 +26,10 @@
     final String tenant;
     final Optional<String> key;
     final long destination;
-    /** Wall time, since it must hold in a later life. */
-    final long deadlineMs;
+    /** Until when it may be tried, by {@link MachineClock#nanos}. */
+    final long deadlineNanos;
     /** When its client's time may be up at the soonest, as far as this life knows it; the deadline where it does not. */
-    long timeUpMs;
+    private final long timeUpNanos;
     final byte[] body;
     final List<Attempt> attempts = new ArrayList<>();
     /** How many of them the journal has a record of. */
@@ -50,34 +50,31 @@
         private static final long ANY_AGE_MS = TimeUnit.DAYS.toMillis(365);
 
         final String endpoint;
-        /** Wall time, for the journal. */
-        final long sentAtMs;
-        /**
-         * The same on this life's own clock, by which windows are kept: a wall clock that is set back would make them
-         * longer.
-         */
+        /** When it was decided, by {@link MachineClock#nanos}. */
         final long sentNanos;
         boolean neverRan;
         /** Its place among the records of the message's attempts: one that could not be written leaves no gap. */
         int record = UNRECORDED;
 
-        private Attempt(String endpoint, long sentAtMs, long sentNanos) {
+        private Attempt(String endpoint, long sentNanos) {
             this.endpoint = endpoint;
-            this.sentAtMs = sentAtMs;
             this.sentNanos = sentNanos;
         }
 
-        /** One that was made so long ago. */
+        /** One that was made so long ago; a negative age is one that can't be true, and so any. */
         static Attempt sentAgo(String endpoint, long agoMs, MachineClock clock) {
-            return recorded(endpoint, clock.wallMillis() - agoMs, clock);
+            long ageMs = agoMs < 0 ? ANY_AGE_MS : agoMs;
+            return new Attempt(endpoint, clock.nanos() - TimeUnit.MILLISECONDS.toNanos(ageMs));
         }
 
-        /** One made at this wall time, now or in an earlier life. */
-        static Attempt recorded(String endpoint, long sentAtMs, MachineClock clock) {
-            // One from the future tells that the wall clock was set back: it may be of any age, so it is past any window.
-            long ageMs = clock.wallMillis() - sentAtMs;
-            return new Attempt(endpoint, sentAtMs,
-                    clock.nanos() - TimeUnit.MILLISECONDS.toNanos(ageMs < 0 ? ANY_AGE_MS : ageMs));
+        /** One that was made at this time. */
+        static Attempt sentAt(String endpoint, long sentNanos, MachineClock clock) {
+            return sentNanos <= clock.nanos() ? new Attempt(endpoint, sentNanos) : ofUnknownAge(endpoint, clock);
+        }
+
+        /** One of which nobody knows how long ago it was made: it counts as older than any window. */
+        static Attempt ofUnknownAge(String endpoint, MachineClock clock) {
+            return sentAgo(endpoint, ANY_AGE_MS, clock);
         }
 
         double ageMs(MachineClock clock) {
@@ -110,38 +107,46 @@
     /** One that is taken on now, of a class with this deadline. */
     static Held taken(long number, Intake.Submission s, double classDeadlineMs, MachineClock clock) {
         long leftMs = (long) Math.min(s.budgetMs(), classDeadlineMs);
-        Held held = withTimeLeft(number, s.id(), s.messageClass(), s.tenant(), s.key(), s.destination(),
-                leftMs - Math.min(ENDED_BEFORE_MS, leftMs / 2), s.body(), clock);
-        held.timeUpMs = clock.wallMillis() + leftMs - unreadMs(classDeadlineMs);
-        return held;
+        long deadlineMs = leftMs - Math.min(ENDED_BEFORE_MS, leftMs / 2);
+        return new Held(number, s.id(), s.messageClass(), s.tenant(), s.key(), s.destination(),
+                after(deadlineMs, clock), after(leftMs - unreadMs(classDeadlineMs), clock), s.body());
+    }
+
+    private static long after(long ms, MachineClock clock) {
+        return clock.nanos() + TimeUnit.MILLISECONDS.toNanos(ms);
     }
 
     /** One that may be tried for so long from now on. */
     static Held withTimeLeft(long number, String id, String messageClass, String tenant, Optional<String> key,
             long destination, long leftMs, byte[] body, MachineClock clock) {
-        return new Held(number, id, messageClass, tenant, key, destination, clock.wallMillis() + leftMs, body);
+        return new Held(number, id, messageClass, tenant, key, destination, after(leftMs, clock), body);
     }
 
     /** How long it may still be tried. */
     double leftMs(MachineClock clock) {
-        return deadlineMs - clock.wallMillis();
+        return (deadlineNanos - clock.nanos()) / 1e6;
     }
 
     /** Whether its client's time may be up. */
     boolean isTimeUp(MachineClock clock) {
-        return clock.wallMillis() >= timeUpMs;
+        return clock.nanos() >= timeUpNanos;
     }
 
     Held(long number, String id, String messageClass, String tenant, Optional<String> key, long destination,
-            long deadlineMs, byte[] body) {
+            long deadlineNanos, byte[] body) {
+        this(number, id, messageClass, tenant, key, destination, deadlineNanos, deadlineNanos, body);
+    }
+
+    private Held(long number, String id, String messageClass, String tenant, Optional<String> key, long destination,
+            long deadlineNanos, long timeUpNanos, byte[] body) {
         this.number = number;
         this.id = id;
         this.messageClass = messageClass;
         this.tenant = tenant;
         this.key = key;
         this.destination = destination;
-        this.deadlineMs = deadlineMs;
-        this.timeUpMs = deadlineMs;
+        this.deadlineNanos = deadlineNanos;
+        this.timeUpNanos = timeUpNanos;
         this.body = body;
     }
 }
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -20,13 +20,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import java.util.zip.CRC32;
 import kestreldeal.Relay;
 
 /**
  * What this sender has taken on, in a file that outlasts its process. Records are appended, each with its
  * length and checksum, and reach the system's cache before the step that they stand for: that survives any
- * end of the process, so nothing is forced to disk.
+ * end of the process, so nothing is forced to disk. Times are those of the machine's monotonic clock, behind a record
+ * that names the boot that they count in.
  *
  * <p>The folder never holds more than its bound: before an append would leave no room for a compacted copy
  * beside the file, the live records are written to a new file, which then takes the old one's place. New
@@ -40,6 +42,8 @@
     private static final int ENDED = 5;
     private static final int HEALTH = 6;
     private static final int OVER = 7;
+    /** Times in the records behind it are those of this boot's monotonic clock; where there is none, wall time. */
+    private static final int BOOT = 8;
     /** Length and checksum. */
     private static final int HEAD = 12;
     /** Longest record that is believed: a longer one is a torn or foreign length. */
@@ -52,6 +56,8 @@
     private static final int OVER_PART = 16;
     /** Files count in whole blocks: two files, those of {@link Succession}, and a block to spare. */
     private static final int BLOCKS = 5 * 512;
+    /** Longer than the deadline of any class, to which it is bounded where it is used. */
+    private static final long ANY_SPAN_NANOS = TimeUnit.DAYS.toNanos(1);
 
     private final Path file;
     private final Path next;
@@ -69,6 +75,18 @@
     private long size;
     private long liveBytes;
     private long numbers;
+    /** How the times in the records that are read, or are in the file, are meant. */
+    private TimeBase base = TimeBase.WALL_CLOCK;
+
+    /** What a time in a record counts from. */
+    private enum TimeBase {
+        /** Unix time in milliseconds: written by a release that kept no other. */
+        WALL_CLOCK,
+        /** The monotonic clock of this boot, in nanoseconds. */
+        THIS_BOOT,
+        /** That of another boot: nobody knows how long ago it was. */
+        OTHER_BOOT
+    }
 
     Journal(Path folder, long diskBytes, int maxAttempts) throws IOException {
         this(folder, diskBytes, maxAttempts, MachineClock.system(), FileChannel::open);
@@ -90,6 +108,7 @@
         // A compaction that the process did not live to finish still takes up room.
         Files.deleteIfExists(next);
         channel = files.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        liveBytes = record(bootRecord()).length;
         size = replay(Files.readAllBytes(file));
         // A torn tail would hide all that is appended behind it.
         channel.truncate(size);
@@ -192,16 +211,16 @@
         return record(overRecord(id, true)).length;
     }
 
-    /** An endpoint's state, since when on the wall clock, and the rate that it carried before. */
-    record Health(Relay.State state, long sinceMs, double carriedPerMs) {
+    /** An endpoint's state, since when by {@link MachineClock#nanos}, and the rate that it carried before. */
+    record Health(Relay.State state, long sinceNanos, double carriedPerMs) {
         /** A state that has stood for so long. */
         static Health since(double agoMs, Relay.State state, double carriedPerMs, MachineClock clock) {
-            return new Health(state, clock.wallMillis() - (long) agoMs, carriedPerMs);
+            return new Health(state, clock.nanos() - (long) (agoMs * 1e6), carriedPerMs);
         }
 
         /** How long it has stood. */
         double ageMs(MachineClock clock) {
-            return Math.max(0, clock.wallMillis() - sinceMs);
+            return Math.max(0, (clock.nanos() - sinceNanos) / 1e6);
         }
     }
 
@@ -277,6 +296,15 @@
         return crc.getValue();
     }
 
+    private Body bootRecord() {
+        return out -> {
+            out.writeByte(BOOT);
+            // Where the other records have a message's number.
+            out.writeLong(clock.nanos());
+            out.writeUTF(clock.boot());
+        };
+    }
+
     private static Body takenRecord(Held held) {
         return out -> {
             out.writeByte(TAKEN);
@@ -287,7 +315,7 @@
             out.writeBoolean(held.key.isPresent());
             out.writeUTF(held.key.orElse(""));
             out.writeLong(held.destination);
-            out.writeLong(held.deadlineMs);
+            out.writeLong(held.deadlineNanos);
             out.writeInt(held.body.length);
             out.write(held.body);
         };
@@ -298,7 +326,7 @@
             out.writeByte(ATTEMPT);
             out.writeLong(held.number);
             out.writeUTF(attempt.endpoint);
-            out.writeLong(attempt.sentAtMs);
+            out.writeLong(attempt.sentNanos);
         };
     }
 
@@ -333,7 +361,7 @@
         return out -> {
             out.writeByte(HEALTH);
             // Where the other records have a message's number.
-            out.writeLong(health.sinceMs());
+            out.writeLong(health.sinceNanos());
             out.writeUTF(endpoint);
             out.writeByte(health.state().ordinal());
             out.writeDouble(health.carriedPerMs());
@@ -351,7 +379,7 @@
             // The file may be another process's by now: a compaction would put this one's in its place.
             throw new ClosedChannelException();
         }
-        if (size + liveBytes + 2L * record.length > bound) {
+        if (base != TimeBase.THIS_BOOT || size + liveBytes + 2L * record.length > bound) {
             compact();
         }
         if (size + record.length > bound) {
@@ -377,6 +405,7 @@
 
     private void compact() throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream((int) liveBytes);
+        bytes.write(record(bootRecord()));
         for (Map.Entry<String, Health> known : health.entrySet()) {
             bytes.write(record(healthRecord(known.getKey(), known.getValue())));
         }
@@ -411,6 +440,7 @@
         channel.close();
         channel = fresh;
         size = bytes.size();
+        base = TimeBase.THIS_BOOT;
     }
 
     // ---- reading ----
@@ -439,8 +469,17 @@
     private void apply(DataInputStream in, int length) throws IOException {
         int type = in.readByte();
         long number = in.readLong();
+        if (type == BOOT) {
+            // One that is ahead of this one was not of the same boot, whatever its name.
+            String boot = in.readUTF();
+            boolean same = !boot.isEmpty() && boot.equals(clock.boot()) && number <= clock.nanos();
+            base = same ? TimeBase.THIS_BOOT : TimeBase.OTHER_BOOT;
+            return;
+        }
         if (type == HEALTH) {
-            keep(in.readUTF(), new Health(Relay.State.values()[in.readByte()], number, in.readDouble()), length);
+            String endpoint = in.readUTF();
+            Relay.State state = Relay.State.values()[in.readByte()];
+            keep(endpoint, health(state, number, in.readDouble()), length);
             return;
         }
         if (type == OVER) {
@@ -455,7 +494,7 @@
             boolean keyed = in.readBoolean();
             String key = in.readUTF();
             Held held = new Held(number, id, messageClass, tenant, keyed ? Optional.of(key) : Optional.empty(),
-                    in.readLong(), in.readLong(), in.readNBytes(in.readInt()));
+                    in.readLong(), deadlineNanos(in.readLong()), in.readNBytes(in.readInt()));
             live.put(number, held);
             count(held, length);
             return;
@@ -466,7 +505,7 @@
         }
         switch (type) {
             case ATTEMPT -> {
-                Held.Attempt attempt = Held.Attempt.recorded(in.readUTF(), in.readLong(), clock);
+                Held.Attempt attempt = attempt(in.readUTF(), in.readLong());
                 held.attempts.add(attempt);
                 attempt.record = held.attemptRecords++;
             }
@@ -487,6 +526,33 @@
         count(held, length);
     }
 
+    /** In another boot it is generous: trying for too long does less harm than giving up what is owed. */
+    private long deadlineNanos(long recorded) {
+        return switch (base) {
+            case THIS_BOOT -> recorded;
+            case OTHER_BOOT -> clock.nanos() + ANY_SPAN_NANOS;
+            case WALL_CLOCK -> clock.nanos() + TimeUnit.MILLISECONDS.toNanos(recorded - clock.wallMillis());
+        };
+    }
+
+    /** In another boot it is careful: it counts as older than any window for repeats. */
+    private Held.Attempt attempt(String endpoint, long recorded) {
+        return switch (base) {
+            case THIS_BOOT -> Held.Attempt.sentAt(endpoint, recorded, clock);
+            case OTHER_BOOT -> Held.Attempt.ofUnknownAge(endpoint, clock);
+            case WALL_CLOCK -> Held.Attempt.sentAgo(endpoint, clock.wallMillis() - recorded, clock);
+        };
+    }
+
+    /** In another boot it is careful: a ramp begins anew. */
+    private Health health(Relay.State state, long recorded, double carriedPerMs) {
+        return switch (base) {
+            case THIS_BOOT -> new Health(state, recorded, carriedPerMs);
+            case OTHER_BOOT -> Health.since(0, state, carriedPerMs, clock);
+            case WALL_CLOCK -> Health.since(clock.wallMillis() - recorded, state, carriedPerMs, clock);
+        };
+    }
+
     private void count(Held held, int length) {
         held.bytes += length;
         liveBytes += length;
--- a/src/test/java/kestreldeal/net/JournalTest.java
+++ b/src/test/java/kestreldeal/net/JournalTest.java
@@ -101,13 +101,15 @@
 
     @Test
     void aTornTailIsDroppedAndWrittenOver() throws Exception {
+        long firstEnds;
         try (Journal journal = open()) {
             journal.taken(held(journal, 10));
+            firstEnds = journal.size();
             journal.taken(held(journal, 10));
         }
         Path file = folder.resolve("journal");
         byte[] whole = Files.readAllBytes(file);
-        for (int cut = whole.length - 1; cut > whole.length / 2; cut -= 7) {
+        for (int cut = whole.length - 1; cut >= firstEnds; cut--) {
             Files.write(file, java.util.Arrays.copyOf(whole, cut));
             try (Journal journal = open()) {
                 assertEquals(1, journal.held().size());
--- a/src/test/java/kestreldeal/net/ManualClock.java
+++ b/src/test/java/kestreldeal/net/ManualClock.java
@@ -30,6 +30,11 @@
         nanos = TimeUnit.MILLISECONDS.toNanos(uptimeMs);
     }
 
+    /** The monotonic clock counts anew, under the same name. */
+    void rewind(long uptimeMs) {
+        nanos = TimeUnit.MILLISECONDS.toNanos(uptimeMs);
+    }
+
     @Override
     public long nanos() {
         return nanos;
--- a/src/test/java/kestreldeal/net/Surroundings.java
+++ b/src/test/java/kestreldeal/net/Surroundings.java
@@ -104,7 +104,12 @@
     }
 
     Sender sender() throws Exception {
-        return new Sender(Config.read(environment()), false, Sender.TAKING_MS, Sender.CLOSING_MS);
+        return sender(MachineClock.system());
+    }
+
+    /** One that is told the time by these clocks. */
+    Sender sender(MachineClock clock) throws Exception {
+        return new Sender(Config.read(environment()), false, Sender.TAKING_MS, Sender.CLOSING_MS, clock);
     }
 
     /** The program as a process, under this limit of descriptors; it writes to the file {@code log}. */
--- a/src/test/java/kestreldeal/net/WallClockTest.java
+++ b/src/test/java/kestreldeal/net/WallClockTest.java
@@ -2,12 +2,16 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.file.Path;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import kestreldeal.Relay;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -19,6 +23,20 @@
     @TempDir
     private Path folder;
     private final ManualClock clock = new ManualClock();
+    private Stub endpoint;
+    private Surroundings world;
+    private Sender sender;
+
+    @AfterEach
+    void close() throws Exception {
+        if (sender != null) {
+            sender.kill();
+        }
+        if (world != null) {
+            world.close();
+            endpoint.close();
+        }
+    }
 
     private Journal journal() throws IOException {
         return new Journal(folder, DISK, 12, clock, FileChannel::open);
@@ -49,4 +67,75 @@
             assertSpans(journal.held().iterator().next(), journal.health().get("e"), 10_000);
         }
     }
+
+    /** Nobody knows how long ago anything was: no repeat, but all the time for trying, and a ramp from its start. */
+    @Test
+    void anotherBootIsCarefulWithRepeatsAndGenerousWithTrying() throws Exception {
+        leave();
+        clock.reboot(5_000);
+        for (int life = 0; life < 2; life++) {
+            try (Journal journal = journal()) {
+                Held held = journal.held().iterator().next();
+                assertTrue(held.leftMs(clock) > 24_000, "left: " + held.leftMs(clock));
+                assertTrue(held.attempts.get(0).ageMs(clock) > TimeUnit.DAYS.toMillis(1));
+                assertEquals(0, journal.health().get("e").ageMs(clock));
+                journal.handOver();
+            }
+        }
+    }
+
+    /** A clock that counts anew under the same name, as of a machine that was copied. */
+    @Test
+    void aClockThatIsBehindTheJournalIsOfAnotherBoot() throws Exception {
+        leave();
+        clock.rewind(5_000);
+        try (Journal journal = journal()) {
+            Held held = journal.held().iterator().next();
+            assertTrue(held.leftMs(clock) > 24_000, "left: " + held.leftMs(clock));
+            assertTrue(held.attempts.get(0).ageMs(clock) > TimeUnit.DAYS.toMillis(1));
+        }
+    }
+
+    private void leave() throws IOException {
+        try (Journal journal = journal()) {
+            Held held = Held.withTimeLeft(journal.nextNumber(), "id", "order", "", Optional.of("key"), 7, 24_000,
+                    new byte[1], clock);
+            journal.taken(held);
+            journal.attempt(held, Held.Attempt.sentAgo("e", 0, clock));
+            journal.health("e", Journal.Health.since(0, Relay.State.WARMING, 0.5, clock));
+        }
+    }
+
+    /** The machine's clocks, the wall clock being off by so much. */
+    private record Stepped(long stepMs) implements MachineClock {
+        @Override
+        public long nanos() {
+            return System.nanoTime();
+        }
+
+        @Override
+        public long wallMillis() {
+            return System.currentTimeMillis() + stepMs;
+        }
+
+        @Override
+        public String boot() {
+            return MachineClock.system().boot();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {3_600_000, -3_600_000})
+    void whatIsHeldIsTriedInTheNextLifeWhateverTheWallClockSays(long stepMs) throws Exception {
+        endpoint = new Stub(Stub.status(200, ""));
+        world = new Surroundings(folder, endpoint);
+        try (Journal journal = world.journal()) {
+            journal.taken(Held.withTimeLeft(journal.nextNumber(), "untried", "once", "", Optional.empty(), 0, 20_000,
+                    new byte[0], MachineClock.system()));
+        }
+        sender = world.sender(new Stepped(stepMs));
+        sender.start();
+        Stub.await("the call", () -> endpoint.requests.size() == 1);
+        assertEquals("untried", endpoint.requests.get(0).header("X-Call-Id"));
+    }
 }
