--- /dev/null
+++ b/src/test/java/kestreldeal/net/FailingFiles.java
@@ -0,0 +1,168 @@
+package kestreldeal.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.MappedByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.WritableByteChannel;
+import java.nio.file.OpenOption;
+import java.nio.file.Path;
+
+/** Files that can be made to fail: a write then leaves half of its bytes, and all else does nothing. */
+final class FailingFiles implements Journal.FileOpener {
+    private boolean failing;
+    private boolean failingClose;
+    private boolean failingTruncate;
+
+    /** All that is done from now on fails, or works again. */
+    void fail(boolean now) {
+        failing = now;
+    }
+
+    /** No file can be made shorter from now on, whatever else works. */
+    void failTruncating() {
+        failingTruncate = true;
+    }
+
+    /** Closing a file fails from now on, though it is closed. */
+    void failClosing() {
+        failingClose = true;
+    }
+
+    @Override
+    public FileChannel open(Path file, OpenOption... options) throws IOException {
+        check();
+        return new Channel(FileChannel.open(file, options));
+    }
+
+    private void check() throws IOException {
+        if (failing) {
+            throw new IOException("Input/output error");
+        }
+    }
+
+    private final class Channel extends FileChannel {
+        private final FileChannel file;
+
+        Channel(FileChannel file) {
+            this.file = file;
+        }
+
+        /** Half of the bytes, which are then in the file. */
+        private static ByteBuffer half(ByteBuffer bytes) {
+            ByteBuffer half = bytes.duplicate();
+            half.limit(half.position() + half.remaining() / 2);
+            return half;
+        }
+
+        @Override
+        public int write(ByteBuffer bytes) throws IOException {
+            if (failing) {
+                file.write(half(bytes));
+                check();
+            }
+            return file.write(bytes);
+        }
+
+        @Override
+        public int write(ByteBuffer bytes, long position) throws IOException {
+            if (failing) {
+                file.write(half(bytes), position);
+                check();
+            }
+            return file.write(bytes, position);
+        }
+
+        @Override
+        public long write(ByteBuffer[] all, int offset, int length) throws IOException {
+            check();
+            return file.write(all, offset, length);
+        }
+
+        @Override
+        public FileChannel truncate(long size) throws IOException {
+            check();
+            if (failingTruncate) {
+                throw new IOException("Input/output error");
+            }
+            file.truncate(size);
+            return this;
+        }
+
+        @Override
+        public int read(ByteBuffer to) throws IOException {
+            check();
+            return file.read(to);
+        }
+
+        @Override
+        public int read(ByteBuffer to, long position) throws IOException {
+            check();
+            return file.read(to, position);
+        }
+
+        @Override
+        public long read(ByteBuffer[] to, int offset, int length) throws IOException {
+            check();
+            return file.read(to, offset, length);
+        }
+
+        @Override
+        public long position() throws IOException {
+            return file.position();
+        }
+
+        @Override
+        public FileChannel position(long newPosition) throws IOException {
+            file.position(newPosition);
+            return this;
+        }
+
+        @Override
+        public long size() throws IOException {
+            check();
+            return file.size();
+        }
+
+        @Override
+        public void force(boolean metaData) throws IOException {
+            check();
+            file.force(metaData);
+        }
+
+        @Override
+        public long transferTo(long position, long count, WritableByteChannel target) throws IOException {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public long transferFrom(ReadableByteChannel source, long position, long count) throws IOException {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public MappedByteBuffer map(MapMode mode, long position, long size) throws IOException {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public FileLock lock(long position, long size, boolean shared) throws IOException {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public FileLock tryLock(long position, long size, boolean shared) throws IOException {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        protected void implCloseChannel() throws IOException {
+            file.close();
+            if (failingClose) {
+                throw new IOException("Input/output error");
+            }
+        }
+    }
+}
