--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -1,19 +1,11 @@
 package kestreldeal.net;
 
-import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
-import java.io.DataOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.ClosedChannelException;
 import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.OpenOption;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -21,7 +13,6 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
-import java.util.zip.CRC32;
 import kestreldeal.Relay;
 
 /**
@@ -44,10 +35,6 @@
     private static final int OVER = 7;
     /** Times in the records behind it are those of this boot's monotonic clock; where there is none, wall time. */
     private static final int BOOT = 8;
-    /** Length and checksum. */
-    private static final int HEAD = 12;
-    /** Longest record that is believed: a longer one is a torn or foreign length. */
-    private static final int LONGEST = 1 << 20;
     /** Room for the later records of a message: for each attempt, and for its end. */
     private static final int ATTEMPT_ROOM = 128;
     private static final int END_ROOM = 64;
@@ -59,20 +46,16 @@
     /** Longer than the deadline of any class, to which it is bounded where it is used. */
     private static final long ANY_SPAN_NANOS = TimeUnit.DAYS.toNanos(1);
 
-    private final Path file;
-    private final Path next;
+    private final JournalFile file;
     private final long bound;
     private final long messageRoom;
     private final MachineClock clock;
-    private final FileOpener files;
     private final Map<Long, Held> live = new TreeMap<>();
     /** Ids of messages that were over last, the oldest first, and whether they were delivered. */
     private final Map<String, Boolean> over = new LinkedHashMap<>();
     private long overBytes;
     /** What the module last knew of endpoints that are not in service. */
     private final Map<String, Health> health = new TreeMap<>();
-    private FileChannel channel;
-    private long size;
     private long liveBytes;
     private long numbers;
     /** How the times in the records that are read, or are in the file, are meant. */
@@ -100,19 +83,17 @@
     /** The same with clocks and files of its own. */
     Journal(Path folder, long diskBytes, int maxAttempts, MachineClock clock, FileOpener files) throws IOException {
         this.clock = clock;
-        this.files = files;
-        this.file = folder.resolve("journal");
-        this.next = folder.resolve("journal.next");
         this.bound = diskBytes - BLOCKS;
         this.messageRoom = (long) maxAttempts * ATTEMPT_ROOM + END_ROOM;
-        // A compaction that the process did not live to finish still takes up room.
-        Files.deleteIfExists(next);
-        channel = files.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-        liveBytes = record(bootRecord()).length;
-        size = replay(Files.readAllBytes(file));
-        // A torn tail would hide all that is appended behind it.
-        channel.truncate(size);
-        channel.position(size);
+        this.liveBytes = bootFrame().length;
+        this.file = new JournalFile(folder, files);
+        try {
+            byte[] bytes = file.read();
+            file.begin(JournalFrames.read(bytes, this::apply), bytes.length);
+        } catch (IOException e) {
+            file.close();
+            throw e;
+        }
     }
 
     /** What was held when the last process ended, in the order taken. */
@@ -127,7 +108,7 @@
 
     /** Takes a message on, or throws: then it must be refused. */
     void taken(Held held) throws IOException {
-        byte[] record = record(takenRecord(held));
+        byte[] record = takenFrame(held);
         long needed = liveBytes + record.length + messageRoom * (live.size() + 1L);
         if (2 * needed > bound) {
             throw new IOException("the journal has no room for another message");
@@ -143,7 +124,7 @@
     void attempt(Held held, Held.Attempt attempt) throws IOException {
         held.attempts.add(attempt);
         attempt.neverRan = true;
-        append(held, record(attemptRecord(held, attempt)));
+        append(held, attemptFrame(held, attempt));
         attempt.neverRan = false;
         attempt.record = held.attemptRecords++;
     }
@@ -153,7 +134,7 @@
         Held.Attempt attempt = held.attempts.get(number);
         attempt.neverRan = true;
         if (attempt.record != Held.Attempt.UNRECORDED) {
-            append(held, record(neverRanRecord(held, attempt.record)));
+            append(held, neverRanFrame(held, attempt.record));
         }
     }
 
@@ -161,7 +142,7 @@
     void owed(Held held, Held.Notice notice) throws IOException {
         held.owed = Optional.of(notice);
         markEnded(held.id, false);
-        append(held, record(owedRecord(held, notice)));
+        append(held, owedFrame(held, notice));
     }
 
     /** Nothing more is owed for the message. */
@@ -169,10 +150,7 @@
         if (live.remove(held.number) != null) {
             liveBytes -= held.bytes;
             markIfTried(held);
-            write(record(out -> {
-                out.writeByte(ENDED);
-                out.writeLong(held.number);
-            }));
+            write(endedFrame(held));
         }
     }
 
@@ -208,7 +186,7 @@
     }
 
     private static int overSize(String id) {
-        return record(overRecord(id, true)).length;
+        return overFrame(id, true).length;
     }
 
     /** An endpoint's state, since when by {@link MachineClock#nanos}, and the rate that it carried before. */
@@ -226,7 +204,7 @@
 
     /** What is known of an endpoint has changed; one that is in service, or forgotten, takes up no room. */
     void health(String endpoint, Health now) throws IOException {
-        byte[] record = record(healthRecord(endpoint, now));
+        byte[] record = healthFrame(endpoint, now);
         write(record);
         keep(endpoint, now, record.length);
     }
@@ -256,57 +234,27 @@
 
     /** Bytes of the file now. */
     long size() {
-        return size;
+        return file.size();
     }
 
     @Override
     public void close() {
-        try {
-            channel.close();
-        } catch (IOException e) {
-            Log.line("closing the journal: " + e.getMessage());
-        }
+        file.close();
     }
 
     // ---- writing ----
 
-    private interface Body {
-        void write(DataOutputStream out) throws IOException;
-    }
-
-    private static byte[] record(Body body) {
-        try {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream(128);
-            DataOutputStream out = new DataOutputStream(bytes);
-            out.writeInt(0);
-            out.writeLong(0);
-            body.write(out);
-            byte[] record = bytes.toByteArray();
-            ByteBuffer.wrap(record).putInt(record.length - HEAD)
-                    .putLong(checksum(record, HEAD, record.length - HEAD));
-            return record;
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
-    private static long checksum(byte[] bytes, int from, int length) {
-        CRC32 crc = new CRC32();
-        crc.update(bytes, from, length);
-        return crc.getValue();
-    }
-
-    private Body bootRecord() {
-        return out -> {
+    private byte[] bootFrame() {
+        return JournalFrames.frame(out -> {
             out.writeByte(BOOT);
             // Where the other records have a message's number.
             out.writeLong(clock.nanos());
             out.writeUTF(clock.boot());
-        };
+        });
     }
 
-    private static Body takenRecord(Held held) {
-        return out -> {
+    private static byte[] takenFrame(Held held) {
+        return JournalFrames.frame(out -> {
             out.writeByte(TAKEN);
             out.writeLong(held.number);
             out.writeUTF(held.id);
@@ -318,54 +266,61 @@
             out.writeLong(held.deadlineNanos);
             out.writeInt(held.body.length);
             out.write(held.body);
-        };
+        });
     }
 
-    private static Body attemptRecord(Held held, Held.Attempt attempt) {
-        return out -> {
+    private static byte[] attemptFrame(Held held, Held.Attempt attempt) {
+        return JournalFrames.frame(out -> {
             out.writeByte(ATTEMPT);
             out.writeLong(held.number);
             out.writeUTF(attempt.endpoint);
             out.writeLong(attempt.sentNanos);
-        };
+        });
     }
 
-    private static Body neverRanRecord(Held held, int attempt) {
-        return out -> {
+    private static byte[] neverRanFrame(Held held, int attempt) {
+        return JournalFrames.frame(out -> {
             out.writeByte(NEVER_RAN);
             out.writeLong(held.number);
             out.writeInt(attempt);
-        };
+        });
     }
 
-    private static Body owedRecord(Held held, Held.Notice notice) {
-        return out -> {
+    private static byte[] owedFrame(Held held, Held.Notice notice) {
+        return JournalFrames.frame(out -> {
             out.writeByte(OWED);
             out.writeLong(held.number);
             out.writeBoolean(notice.bounced());
             out.writeDouble(notice.waitMs());
-        };
+        });
     }
 
-    private static Body overRecord(String id, boolean delivered) {
-        return out -> {
+    private static byte[] overFrame(String id, boolean delivered) {
+        return JournalFrames.frame(out -> {
             out.writeByte(OVER);
             // Where the other records have a message's number.
             out.writeLong(0);
             out.writeUTF(id);
             out.writeBoolean(delivered);
-        };
+        });
     }
 
-    private static Body healthRecord(String endpoint, Health health) {
-        return out -> {
+    private static byte[] healthFrame(String endpoint, Health health) {
+        return JournalFrames.frame(out -> {
             out.writeByte(HEALTH);
             // Where the other records have a message's number.
             out.writeLong(health.sinceNanos());
             out.writeUTF(endpoint);
             out.writeByte(health.state().ordinal());
             out.writeDouble(health.carriedPerMs());
-        };
+        });
+    }
+
+    private static byte[] endedFrame(Held held) {
+        return JournalFrames.frame(out -> {
+            out.writeByte(ENDED);
+            out.writeLong(held.number);
+        });
     }
 
     private void append(Held held, byte[] record) throws IOException {
@@ -375,97 +330,45 @@
     }
 
     private void write(byte[] record) throws IOException {
-        if (!channel.isOpen()) {
-            // The file may be another process's by now: a compaction would put this one's in its place.
-            throw new ClosedChannelException();
-        }
-        if (base != TimeBase.THIS_BOOT || size + liveBytes + 2L * record.length > bound) {
+        if (base != TimeBase.THIS_BOOT || file.size() + liveBytes + 2L * record.length > bound) {
             compact();
         }
-        if (size + record.length > bound) {
+        if (file.size() + record.length > bound) {
             throw new IOException("the journal is full");
         }
-        writeAll(channel, record);
-        size += record.length;
-    }
-
-    /** A record that is written in part must not stay: all behind it would be lost at the next start. */
-    private void writeAll(FileChannel to, byte[] bytes) throws IOException {
-        long start = to.position();
-        try {
-            ByteBuffer buffer = ByteBuffer.wrap(bytes);
-            while (buffer.hasRemaining()) {
-                to.write(buffer);
-            }
-        } catch (IOException e) {
-            to.truncate(start);
-            throw e;
-        }
+        file.append(record);
     }
 
     private void compact() throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream((int) liveBytes);
-        bytes.write(record(bootRecord()));
+        bytes.write(bootFrame());
         for (Map.Entry<String, Health> known : health.entrySet()) {
-            bytes.write(record(healthRecord(known.getKey(), known.getValue())));
+            bytes.write(healthFrame(known.getKey(), known.getValue()));
         }
         for (Map.Entry<String, Boolean> known : over.entrySet()) {
-            bytes.write(record(overRecord(known.getKey(), known.getValue())));
+            bytes.write(overFrame(known.getKey(), known.getValue()));
         }
         for (Held held : live.values()) {
-            bytes.write(record(takenRecord(held)));
+            bytes.write(takenFrame(held));
             for (Held.Attempt attempt : held.attempts) {
                 if (attempt.record == Held.Attempt.UNRECORDED) {
                     continue;
                 }
-                bytes.write(record(attemptRecord(held, attempt)));
+                bytes.write(attemptFrame(held, attempt));
                 if (attempt.neverRan) {
-                    bytes.write(record(neverRanRecord(held, attempt.record)));
+                    bytes.write(neverRanFrame(held, attempt.record));
                 }
             }
             if (held.owed.isPresent()) {
-                bytes.write(record(owedRecord(held, held.owed.get())));
+                bytes.write(owedFrame(held, held.owed.get()));
             }
         }
-        FileChannel fresh = files.open(next, StandardOpenOption.CREATE,
-                StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
-        try {
-            writeAll(fresh, bytes.toByteArray());
-            Files.move(next, file, StandardCopyOption.ATOMIC_MOVE);
-        } catch (IOException e) {
-            fresh.close();
-            Files.deleteIfExists(next);
-            throw e;
-        }
-        channel.close();
-        channel = fresh;
-        size = bytes.size();
+        file.replace(bytes.toByteArray());
         base = TimeBase.THIS_BOOT;
     }
 
     // ---- reading ----
 
-    /** Reads up to the first record that is not whole; returns where it begins. */
-    private long replay(byte[] bytes) {
-        int at = 0;
-        while (bytes.length - at >= HEAD) {
-            ByteBuffer head = ByteBuffer.wrap(bytes, at, HEAD);
-            int length = head.getInt();
-            long checksum = head.getLong();
-            if (length < 1 || length > LONGEST || length > bytes.length - at - HEAD
-                    || checksum(bytes, at + HEAD, length) != checksum) {
-                break;
-            }
-            try {
-                apply(new DataInputStream(new ByteArrayInputStream(bytes, at + HEAD, length)), HEAD + length);
-            } catch (IOException e) {
-                break;
-            }
-            at += HEAD + length;
-        }
-        return at;
-    }
-
     private void apply(DataInputStream in, int length) throws IOException {
         int type = in.readByte();
         long number = in.readLong();
--- a/src/test/java/kestreldeal/net/FailingFiles.java
+++ b/src/test/java/kestreldeal/net/FailingFiles.java
@@ -14,6 +14,7 @@
 final class FailingFiles implements Journal.FileOpener {
     private boolean failing;
     private boolean failingClose;
+    private boolean failingToTell;
     private boolean failingTruncate;
 
     /** All that is done from now on fails, or works again. */
@@ -21,6 +22,12 @@
         failing = now;
     }
 
+    /** All fails from now on, but what is written is in the file. */
+    void failTelling() {
+        failing = true;
+        failingToTell = true;
+    }
+
     /** No file can be made shorter from now on, whatever else works. */
     void failTruncating() {
         failingTruncate = true;
@@ -50,17 +57,17 @@
             this.file = file;
         }
 
-        /** Half of the bytes, which are then in the file. */
-        private static ByteBuffer half(ByteBuffer bytes) {
-            ByteBuffer half = bytes.duplicate();
-            half.limit(half.position() + half.remaining() / 2);
-            return half;
+        /** The bytes that are in the file although the write fails. */
+        private ByteBuffer left(ByteBuffer bytes) {
+            ByteBuffer left = bytes.duplicate();
+            left.limit(left.position() + left.remaining() / (failingToTell ? 1 : 2));
+            return left;
         }
 
         @Override
         public int write(ByteBuffer bytes) throws IOException {
             if (failing) {
-                file.write(half(bytes));
+                file.write(left(bytes));
                 check();
             }
             return file.write(bytes);
@@ -69,7 +76,7 @@
         @Override
         public int write(ByteBuffer bytes, long position) throws IOException {
             if (failing) {
-                file.write(half(bytes), position);
+                file.write(left(bytes), position);
                 check();
             }
             return file.write(bytes, position);
--- a/src/test/java/kestreldeal/net/JournalFailureTest.java
+++ b/src/test/java/kestreldeal/net/JournalFailureTest.java
@@ -5,8 +5,11 @@
 
 import java.io.IOException;
 import java.nio.channels.FileChannel;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -64,4 +67,63 @@
             assertEquals(25, journal.held().size());
         }
     }
+
+    /** A record that was written whole, though that was told as a failure, is not there either: it was refused. */
+    @Test
+    void nothingOfARecordThatFailedIsRead() throws Exception {
+        try (Journal journal = failing()) {
+            take(journal);
+            files.failTelling();
+            assertThrows(IOException.class, () -> take(journal));
+            files.fail(false);
+            clock.pass(LATER_MS);
+            take(journal);
+        }
+        try (Journal journal = nextLife()) {
+            assertEquals(List.of("id-0", "id-2"), journal.held().stream().map(h -> h.id).toList());
+        }
+    }
+
+    /** By then the new file has taken the old one's place. */
+    @Test
+    void anOldFileThatCantBeClosedDoesNoHarm() throws Exception {
+        files.failClosing();
+        try (Journal journal = failing()) {
+            Held held = take(journal);
+            for (long before = -1; journal.size() > before;) {
+                before = journal.size();
+                journal.attempt(held, Held.Attempt.sentAgo("e".repeat(5000), 0, clock));
+                journal.ended(held);
+                held = take(journal);
+            }
+            take(journal);
+        }
+        try (Journal journal = nextLife()) {
+            assertEquals(2, journal.held().size());
+        }
+    }
+
+    /** Found by its length at the start: nothing may be written in front of what lies behind the records. */
+    @Test
+    void whatLiesBehindATornRecordStaysHidden() throws Exception {
+        long whole;
+        try (Journal journal = nextLife()) {
+            take(journal);
+            whole = journal.size();
+            take(journal);
+            take(journal);
+        }
+        byte[] bytes = Files.readAllBytes(folder.resolve("journal"));
+        bytes[(int) whole + 20] ^= 1;
+        Files.write(folder.resolve("journal"), bytes);
+        files.failTruncating();
+        try (Journal journal = failing()) {
+            assertEquals(1, journal.held().size());
+            Held again = Held.withTimeLeft(1, "id-1", "order", "", Optional.of("key"), 7, 600_000, new byte[100], clock);
+            journal.taken(again);
+        }
+        try (Journal journal = nextLife()) {
+            assertEquals(List.of("id-0", "id-1"), journal.held().stream().map(h -> h.id).toList());
+        }
+    }
 }
