--- a/src/test/java/kestreldeal/net/JournalFailureTest.java
+++ b/src/test/java/kestreldeal/net/JournalFailureTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.nio.channels.FileChannel;
@@ -9,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import kestreldeal.Relay;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -126,4 +128,45 @@
             assertEquals(List.of("id-0", "id-1"), journal.held().stream().map(h -> h.id).toList());
         }
     }
+
+    private interface Step {
+        void go() throws Exception;
+    }
+
+    /** Goes on as a sender does, which can't undo what has happened. */
+    private static void goOn(Step step) throws Exception {
+        try {
+            step.go();
+        } catch (IOException e) {
+            System.out.println("not written: " + e.getMessage());
+        }
+    }
+
+    @Test
+    void whatHappenedWhileNothingCouldBeWrittenIsKnownInTheNextLife() throws Exception {
+        try (Journal journal = failing()) {
+            Held delivered = take(journal);
+            Held owed = take(journal);
+            Held refused = take(journal);
+            for (Held held : List.of(delivered, owed, refused)) {
+                journal.attempt(held, Held.Attempt.sentAgo("e", 0, clock));
+            }
+            files.fail(true);
+            goOn(() -> journal.ended(delivered));
+            goOn(() -> journal.owed(owed, new Held.Notice(true, 500)));
+            goOn(() -> journal.neverRan(refused, 0));
+            goOn(() -> journal.health("e", Journal.Health.since(0, Relay.State.DOWN, 0.5, clock)));
+            files.fail(false);
+            clock.pass(LATER_MS);
+            take(journal);
+        }
+        try (Journal journal = nextLife()) {
+            assertEquals(List.of("id-1", "id-2", "id-3"), journal.held().stream().map(held -> held.id).toList());
+            assertEquals(Optional.of(true), journal.deliveredBefore("id-0"));
+            List<Held> held = List.copyOf(journal.held());
+            assertEquals(Optional.of(new Held.Notice(true, 500)), held.get(0).owed);
+            assertTrue(held.get(1).attempts.get(0).neverRan);
+            assertEquals(Relay.State.DOWN, journal.health().get("e").state());
+        }
+    }
 }
