--- a/src/main/java/kestreldeal/net/Figures.java
+++ b/src/main/java/kestreldeal/net/Figures.java
@@ -42,8 +42,8 @@
         written += messages;
     }
 
-    /** All figures in Prometheus' text form, with what the sender holds and its list as they are now. */
-    String text(int pending, int members, int avoided) {
+    /** All figures in Prometheus' text form, with what the sender holds, its list and its journal as they are now. */
+    String text(int pending, int members, int avoided, long journalFailures, boolean journalBehind) {
         StringBuilder text = new StringBuilder();
         ends.forEach((end, counts) -> {
             for (String c : classes) {
@@ -54,6 +54,8 @@
         line(text, "pending", pending);
         line(text, "members", members);
         line(text, "members_unavailable", avoided);
+        line(text, "journal_write_failures_total", journalFailures);
+        line(text, "journal_behind", journalBehind ? 1 : 0);
         return text.toString();
     }
 
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -3,16 +3,20 @@
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.FileChannel;
 import java.nio.file.OpenOption;
 import java.nio.file.Path;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import kestreldeal.Relay;
 
 /**
@@ -24,6 +28,9 @@
  * <p>The folder never holds more than its bound: before an append would leave no room for a compacted copy
  * beside the file, the live records are written to a new file, which then takes the old one's place. New
  * messages are turned away while what is live, with the records that it may still need, fills half the bound.
+ *
+ * <p>The folder may fail for a while. What can still be left undone (a message taken, an attempt) is not done then;
+ * what has happened is kept here and written as soon as possible, and until then nothing new is taken on.
  */
 final class Journal implements AutoCloseable {
     private static final int TAKEN = 1;
@@ -43,6 +50,11 @@
     private static final int OVER_PART = 16;
     /** Files count in whole blocks: two files, those of {@link Succession}, and a block to spare. */
     private static final int BLOCKS = 5 * 512;
+    /** Pauses between attempts to write again what could not be written. */
+    private static final long FIRST_PAUSE_MS = 10;
+    private static final long MOST_PAUSE_MS = 320;
+    /** Bytes of records that wait to be written; with more, all that is live is written instead. */
+    private static final int MOST_UNWRITTEN = 1 << 18;
     /** Longer than the deadline of any class, to which it is bounded where it is used. */
     private static final long ANY_SPAN_NANOS = TimeUnit.DAYS.toNanos(1);
 
@@ -58,6 +70,15 @@
     private final Map<String, Health> health = new TreeMap<>();
     private long liveBytes;
     private long numbers;
+    /** Records of what has happened that could not be written yet, in order; or all is to be written anew. */
+    private final Deque<byte[]> unwritten = new ArrayDeque<>();
+    private long unwrittenBytes;
+    private boolean needsSnapshot;
+    private boolean failing;
+    private long failures;
+    private long pauseMs = FIRST_PAUSE_MS;
+    private long tryAgainNanos = Long.MIN_VALUE;
+    private LongConsumer tryAgain = ms -> { };
     /** How the times in the records that are read, or are in the file, are meant. */
     private TimeBase base = TimeBase.WALL_CLOCK;
 
@@ -96,6 +117,15 @@
         }
     }
 
+    /** There is no room within the bound of the folder; nothing has failed. */
+    static final class Full extends IOException {
+        private static final long serialVersionUID = 1;
+
+        Full(String message) {
+            super(message);
+        }
+    }
+
     /** What was held when the last process ended, in the order taken. */
     Collection<Held> held() {
         return new ArrayList<>(live.values());
@@ -106,14 +136,78 @@
         return numbers++;
     }
 
+    /** Told each time that something could not be written, and after how long {@link #catchUp} should be called. */
+    void onFailure(LongConsumer told) {
+        tryAgain = told;
+    }
+
+    /** Whether there is something that could not be written yet: until it is, nothing new is taken on. */
+    boolean isBehind() {
+        return needsSnapshot || !unwritten.isEmpty() || file.isTorn();
+    }
+
+    /** How often something could not be written. */
+    long failures() {
+        return failures;
+    }
+
+    /** Writes what could not be written before, unless it is too soon to try again; returns whether all is written. */
+    boolean catchUp() {
+        if (isBehind()) {
+            if (!file.isOpen() || clock.nanos() < tryAgainNanos) {
+                return false;
+            }
+            try {
+                writeUnwritten();
+            } catch (IOException e) {
+                failed(e);
+                return false;
+            }
+        }
+        if (failing) {
+            failing = false;
+            pauseMs = FIRST_PAUSE_MS;
+            Log.line("the journal is whole again; messages are taken");
+        }
+        return true;
+    }
+
+    private void writeUnwritten() throws IOException {
+        if (needsSnapshot) {
+            compact();
+        }
+        file.mend();
+        while (!unwritten.isEmpty()) {
+            byte[] record = unwritten.peek();
+            write(record);
+            // A compaction has written all of them.
+            if (unwritten.peek() == record) {
+                unwrittenBytes -= record.length;
+                unwritten.remove();
+            }
+        }
+    }
+
+    private void failed(IOException e) {
+        failures++;
+        if (!failing) {
+            failing = true;
+            Log.line("the journal can't be written, and no message is taken until it can: " + e.getMessage());
+        }
+        tryAgainNanos = clock.nanos() + TimeUnit.MILLISECONDS.toNanos(pauseMs);
+        tryAgain.accept(pauseMs);
+        pauseMs = Math.min(MOST_PAUSE_MS, 2 * pauseMs);
+    }
+
     /** Takes a message on, or throws: then it must be refused. */
     void taken(Held held) throws IOException {
         byte[] record = takenFrame(held);
         long needed = liveBytes + record.length + messageRoom * (live.size() + 1L);
         if (2 * needed > bound) {
-            throw new IOException("the journal has no room for another message");
+            throw new Full("the journal has no room for another message");
         }
-        append(held, record);
+        writeNow(record);
+        count(held, record.length);
         live.put(held.number, held);
     }
 
@@ -124,13 +218,15 @@
     void attempt(Held held, Held.Attempt attempt) throws IOException {
         held.attempts.add(attempt);
         attempt.neverRan = true;
-        append(held, attemptFrame(held, attempt));
+        byte[] record = attemptFrame(held, attempt);
+        writeNow(record);
+        count(held, record.length);
         attempt.neverRan = false;
         attempt.record = held.attemptRecords++;
     }
 
-    /** An end proved that the attempt never ran; if this is lost, it counts as one that may have. */
-    void neverRan(Held held, int number) throws IOException {
+    /** An end proved that the attempt never ran. */
+    void neverRan(Held held, int number) {
         Held.Attempt attempt = held.attempts.get(number);
         attempt.neverRan = true;
         if (attempt.record != Held.Attempt.UNRECORDED) {
@@ -139,18 +235,18 @@
     }
 
     /** The message has ended by a notice that is still to be heard. */
-    void owed(Held held, Held.Notice notice) throws IOException {
+    void owed(Held held, Held.Notice notice) {
         held.owed = Optional.of(notice);
         markEnded(held.id, false);
         append(held, owedFrame(held, notice));
     }
 
     /** Nothing more is owed for the message. */
-    void ended(Held held) throws IOException {
+    void ended(Held held) {
         if (live.remove(held.number) != null) {
             liveBytes -= held.bytes;
             markIfTried(held);
-            write(endedFrame(held));
+            writeInTime(endedFrame(held));
         }
     }
 
@@ -203,9 +299,9 @@
     }
 
     /** What is known of an endpoint has changed; one that is in service, or forgotten, takes up no room. */
-    void health(String endpoint, Health now) throws IOException {
+    void health(String endpoint, Health now) {
         byte[] record = healthFrame(endpoint, now);
-        write(record);
+        writeInTime(record);
         keep(endpoint, now, record.length);
     }
 
@@ -323,10 +419,52 @@
         });
     }
 
-    private void append(Held held, byte[] record) throws IOException {
-        write(record);
-        held.bytes += record.length;
-        liveBytes += record.length;
+    private void append(Held held, byte[] record) {
+        writeInTime(record);
+        count(held, record.length);
+    }
+
+    /** Writes a record, or throws: then what it stands for must not be done. */
+    private void writeNow(byte[] record) throws IOException {
+        if (!file.isOpen()) {
+            throw new ClosedChannelException();
+        }
+        if (!catchUp()) {
+            throw new IOException("the journal can't be written now");
+        }
+        try {
+            write(record);
+        } catch (Full e) {
+            throw e;
+        } catch (IOException e) {
+            needsSnapshot |= !file.isTorn();
+            failed(e);
+            throw e;
+        }
+    }
+
+    /** Writes a record of what has happened: now, or as soon as that is possible. */
+    private void writeInTime(byte[] record) {
+        if (!file.isOpen()) {
+            // It is another process's by now, or this one ends.
+            return;
+        }
+        if (catchUp()) {
+            try {
+                write(record);
+                return;
+            } catch (IOException e) {
+                failed(e);
+            }
+        }
+        unwritten.add(record);
+        unwrittenBytes += record.length;
+        if (unwrittenBytes > MOST_UNWRITTEN) {
+            // All that is known is in memory.
+            unwritten.clear();
+            unwrittenBytes = 0;
+            needsSnapshot = true;
+        }
     }
 
     private void write(byte[] record) throws IOException {
@@ -334,7 +472,7 @@
             compact();
         }
         if (file.size() + record.length > bound) {
-            throw new IOException("the journal is full");
+            throw new Full("the journal is full");
         }
         file.append(record);
     }
@@ -364,6 +502,9 @@
             }
         }
         file.replace(bytes.toByteArray());
+        unwritten.clear();
+        unwrittenBytes = 0;
+        needsSnapshot = false;
         base = TimeBase.THIS_BOOT;
     }
 
--- a/src/main/java/kestreldeal/net/JournalFile.java
+++ b/src/main/java/kestreldeal/net/JournalFile.java
@@ -53,6 +53,11 @@
         tornUntil = readBytes;
     }
 
+    /** Whether it has not been closed here. */
+    boolean isOpen() {
+        return channel.isOpen();
+    }
+
     /** Bytes of the records in it. */
     long size() {
         return size;
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -334,7 +334,6 @@
             journal.attempt(held, attempt);
         } catch (IOException e) {
             // Unrecorded it could run twice: it is not made.
-            Log.line("no attempt without the journal: " + e.getMessage());
             loop.execute(() -> attemptEnded(held, number, Relay.Outcome.NOT_SENT, false, 0, Relay.Report.NONE, 0));
             return;
         }
@@ -387,22 +386,12 @@
     }
 
     private void remember(String endpoint, Journal.Health health) {
-        try {
-            journal.health(endpoint, health);
-        } catch (IOException e) {
-            // A later life then begins with an older state: wasteful at worst, as it finds out by itself.
-            Log.line("an endpoint's health is not in the journal: " + e.getMessage());
-        }
+        journal.health(endpoint, health);
     }
 
     private void end(Held held, Held.Notice notice) {
         over(held);
-        try {
-            journal.owed(held, notice);
-        } catch (IOException e) {
-            Log.line("a notice is not in the journal: " + e.getMessage());
-            held.owed = Optional.of(notice);
-        }
+        journal.owed(held, notice);
         notices.owe(held);
     }
 
@@ -462,19 +451,14 @@
 
     private void attemptEnded(Held held, int attempt, Relay.Outcome outcome, boolean gone, double waitMs,
             Relay.Report report, double took) {
-        try {
-            if (!held.over && (gone || outcome == Relay.Outcome.DELIVERED)) {
-                over(held);
-                if (outcome == Relay.Outcome.DELIVERED) {
-                    figures.ended(held.messageClass, Figures.End.COMPLETED);
-                }
-                journal.ended(held);
-            } else if (!held.over && !outcome.mayHaveRun()) {
-                journal.neverRan(held, attempt);
+        if (!held.over && (gone || outcome == Relay.Outcome.DELIVERED)) {
+            over(held);
+            if (outcome == Relay.Outcome.DELIVERED) {
+                figures.ended(held.messageClass, Figures.End.COMPLETED);
             }
-        } catch (IOException e) {
-            // A later life then repeats what it may, and gives up what it may not: true, if wasteful.
-            Log.line("an end is not in the journal: " + e.getMessage());
+            journal.ended(held);
+        } else if (!held.over && !outcome.mayHaveRun()) {
+            journal.neverRan(held, attempt);
         }
         boolean finished = held.over;
         event(() -> relay.attemptEnded(openTurn(), new Relay.AttemptEnd(held.number, attempt, outcome, took,
@@ -488,11 +472,12 @@
     }
 
     private void heard(Held held) {
-        try {
-            journal.ended(held);
-        } catch (IOException e) {
-            // It is told again after a restart, which does no harm.
-            Log.line("a notice's end is not in the journal: " + e.getMessage());
+        journal.ended(held);
+    }
+
+    private void catchUpJournal() {
+        if (!handedOver) {
+            journal.catchUp();
         }
     }
 
@@ -672,7 +657,9 @@
         @Override
         public String figures() {
             Relay.Standing standing = relay.standing();
-            return figures.text(open.size(), standing.listed(), standing.avoided());
+            return figures.text(open.size(), standing.listed(), standing.avoided(),
+                    Optional.ofNullable(journal).map(Journal::failures).orElse(0L),
+                    Optional.ofNullable(journal).filter(Journal::isBehind).isPresent());
         }
 
         @Override
@@ -688,6 +675,7 @@
         public void lead(Optional<Succession.Legacy> told) throws IOException {
             journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts(), machine,
                     FileChannel::open);
+            journal.onFailure(afterMs -> loop.schedule(Sender.this::catchUpJournal, afterMs, TimeUnit.MILLISECONDS));
             legacy = told;
             if (succession.hasPredecessor()) {
                 intake.bound(mostClients / 2);
--- a/src/test/java/kestreldeal/net/JournalFailureTest.java
+++ b/src/test/java/kestreldeal/net/JournalFailureTest.java
@@ -1,6 +1,7 @@
 package kestreldeal.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,6 +9,7 @@
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import kestreldeal.Relay;
@@ -129,19 +131,6 @@
         }
     }
 
-    private interface Step {
-        void go() throws Exception;
-    }
-
-    /** Goes on as a sender does, which can't undo what has happened. */
-    private static void goOn(Step step) throws Exception {
-        try {
-            step.go();
-        } catch (IOException e) {
-            System.out.println("not written: " + e.getMessage());
-        }
-    }
-
     @Test
     void whatHappenedWhileNothingCouldBeWrittenIsKnownInTheNextLife() throws Exception {
         try (Journal journal = failing()) {
@@ -152,10 +141,10 @@
                 journal.attempt(held, Held.Attempt.sentAgo("e", 0, clock));
             }
             files.fail(true);
-            goOn(() -> journal.ended(delivered));
-            goOn(() -> journal.owed(owed, new Held.Notice(true, 500)));
-            goOn(() -> journal.neverRan(refused, 0));
-            goOn(() -> journal.health("e", Journal.Health.since(0, Relay.State.DOWN, 0.5, clock)));
+            journal.ended(delivered);
+            journal.owed(owed, new Held.Notice(true, 500));
+            journal.neverRan(refused, 0);
+            journal.health("e", Journal.Health.since(0, Relay.State.DOWN, 0.5, clock));
             files.fail(false);
             clock.pass(LATER_MS);
             take(journal);
@@ -169,4 +158,53 @@
             assertEquals(Relay.State.DOWN, journal.health().get("e").state());
         }
     }
+
+    /** More than is kept record by record: then all that is known is written anew. */
+    @Test
+    void aLongTimeOfFailuresLosesNothingEither() throws Exception {
+        try (Journal journal = failing()) {
+            Held held = take(journal);
+            Held over = take(journal);
+            files.fail(true);
+            for (int i = 0; i < 20_000; i++) {
+                Relay.State state = i % 2 == 0 ? Relay.State.WARMING : Relay.State.DOWN;
+                journal.health("e", Journal.Health.since(0, state, 0.5, clock));
+            }
+            journal.ended(over);
+            journal.owed(held, new Held.Notice(false, 0));
+            assertTrue(journal.isBehind());
+            files.fail(false);
+            clock.pass(LATER_MS);
+            assertTrue(journal.catchUp());
+        }
+        try (Journal journal = nextLife()) {
+            assertEquals(List.of("id-0"), journal.held().stream().map(h -> h.id).toList());
+            assertTrue(journal.held().iterator().next().owed.isPresent());
+            assertEquals(Relay.State.DOWN, journal.health().get("e").state());
+        }
+    }
+
+    @Test
+    void itTriesAgainByItselfAfterPausesThatGrow() throws Exception {
+        List<Long> pauses = new ArrayList<>();
+        try (Journal journal = failing()) {
+            Held held = take(journal);
+            journal.onFailure(pauses::add);
+            files.fail(true);
+            assertThrows(IOException.class, () -> take(journal));
+            for (int i = 0; i < 7; i++) {
+                assertFalse(journal.catchUp(), "it is too soon");
+                clock.pass(pauses.get(i));
+                assertFalse(journal.catchUp());
+            }
+            assertEquals(List.of(10L, 20L, 40L, 80L, 160L, 320L, 320L, 320L), pauses);
+            assertEquals(8, journal.failures());
+            files.fail(false);
+            assertThrows(IOException.class, () -> journal.attempt(held, Held.Attempt.sentAgo("e", 0, clock)));
+            clock.pass(320);
+            assertTrue(journal.catchUp());
+            assertFalse(journal.isBehind());
+            journal.attempt(held, Held.Attempt.sentAgo("e", 0, clock));
+        }
+    }
 }
