--- /dev/null
+++ b/src/test/java/kestreldeal/net/StartTest.java
@@ -0,0 +1,93 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** What fails for a moment as the program starts does not end it: it tries again, and is ready once that works. */
+class StartTest {
+    @TempDir
+    private Path folder;
+    private Stub endpoint;
+    private Surroundings world;
+    private Process process;
+
+    /** What fails at first. */
+    private enum Failing {
+        CLIENTS_ADDRESS, OPERATORS_ADDRESS, FOLDER
+    }
+
+    private void open() throws IOException {
+        endpoint = new Stub(Stub.status(200, ""));
+        world = new Surroundings(folder, endpoint);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        if (process != null) {
+            process.destroyForcibly().waitFor();
+        }
+        world.close();
+        endpoint.close();
+    }
+
+    private static ServerSocket taken() throws IOException {
+        return new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    }
+
+    private static String hostPort(ServerSocket socket) {
+        return "127.0.0.1:" + socket.getLocalPort();
+    }
+
+    private boolean hasSaid(String text) {
+        try {
+            return Files.readString(world.log()).contains(text);
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private void awaitAlive(String what, BooleanSupplier condition) throws Exception {
+        Stub.await(what, () -> !process.isAlive() || condition.getAsBoolean());
+        assertTrue(process.isAlive(), "it ended: " + Files.readString(world.log()));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Failing.class)
+    void whatFailsForAMomentIsTriedAgain(Failing failing) throws Exception {
+        open();
+        Path journal = world.state().resolve("journal");
+        try (ServerSocket clients = taken(); ServerSocket operators = taken()) {
+            world.listen = hostPort(clients);
+            world.operators = hostPort(operators);
+            if (failing != Failing.CLIENTS_ADDRESS) {
+                clients.close();
+            }
+            if (failing != Failing.OPERATORS_ADDRESS) {
+                operators.close();
+            }
+            if (failing == Failing.FOLDER) {
+                Files.createDirectory(journal);
+            }
+            process = world.process(256);
+            awaitAlive("it has tried", () -> hasSaid("can't "));
+        }
+        if (failing == Failing.FOLDER) {
+            Files.delete(journal);
+        }
+        InetSocketAddress clients = Config.address(world.listen);
+        awaitAlive("it is ready", () -> Surroundings.ask(clients, Surroundings.HEALTH) == 200);
+        InetSocketAddress operators = Config.address(world.operators);
+        awaitAlive("operators are answered", () -> Surroundings.operatorsAnswer(operators, "readyz").equals("YES\n"));
+    }
+}
--- a/src/test/java/kestreldeal/net/Surroundings.java
+++ b/src/test/java/kestreldeal/net/Surroundings.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -32,6 +33,9 @@
     int sockets = 256;
     int slots = 10;
     boolean known = true;
+    String listen = "127.0.0.1:0";
+    /** Where operators connect, or empty. */
+    String operators = "";
 
     Surroundings(Path folder, Stub endpoint) throws IOException {
         this.folder = folder;
@@ -89,7 +93,7 @@
     Map<String, String> environment() throws IOException {
         Path file = folder.resolve("config.json");
         Files.writeString(file, """
-                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+                {"name":"n0","listen":"%s","ops":"%s","discovery":"%s","seed":"8c1f30d27a5be964",
                  "limits":{"memory_mb":192,"sockets":%d,"disk_mb":3},"known":%s,
                  "settings":{"classes":[
                    {"name":"order","aim_ms":8000,"give_up_ms":24000,"repeat":"keyed","window_ms":%d},
@@ -99,7 +103,7 @@
                   "fleet_size":1,"limits":{"most_tries":%d,"second_copies":false,"cancel":true,
                    "dial_timeout_ms":%d,"keepalive_ms":15000},
                   "rules":{"start_capacity":0.2,"warm_after_ms":12000,"fall_multiple":2,"fall_ms":1500}}}
-                """.formatted(agent.hostPort(), sockets, known ? list() : "null", windowMs, slots, MAX_ATTEMPTS, dialMs));
+                """.formatted(listen, operators, agent.hostPort(), sockets, known ? list() : "null", windowMs, slots, MAX_ATTEMPTS, dialMs));
         return Map.of("GW_CONFIG", file.toString(), "GW_STATE", state().toString());
     }
 
@@ -151,6 +155,16 @@
         return answer == null ? 0 : Integer.parseInt(answer.line().split(" ")[1]);
     }
 
+    /** What operators are answered, or nothing where they can't connect. */
+    static String operatorsAnswer(InetSocketAddress address, String call) {
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            Stub.write(socket, call + "\n");
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        } catch (IOException refused) {
+            return "";
+        }
+    }
+
     static String message(String id, String messageClass, long destination, String body) {
         return "POST /" + messageClass + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Call-Class: "
                 + messageClass + "\r\nX-Budget-Ms: 24000\r\nIdempotency-Key: key-" + id + "\r\nX-Envelope: dest="
