Go on trying at a start for addresses and for the folder, and end in order from the first moment

Cause: Sender.start waited for the first bind and threw its failure, which serve took for the end, though listen tried again in the background; that second try could not work either, as Intake gave Netty one handler for all listeners. Ops.listen and Succession.start threw likewise; a socket that could not be made left a process without its shutdown hook. Change: Listener binds until it works, for clients and operators; the shutdown hook stands before anything else; a leader whose folder fails tries again. A listener that comes up behind SIGTERM is closed.

--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -131,7 +131,6 @@
     /** The connections in each state, those that are in it longest first. */
     private final Map<State, Set<Client>> clients = new EnumMap<>(State.class);
     private final ServerBootstrap bootstrap;
-    private Channel listener;
     private boolean closing;
     /** Clients are sent away, but what they hand in all the same is taken. */
     private boolean away;
@@ -147,7 +146,13 @@
         }
         bootstrap = new ServerBootstrap().group(loop, loop)
                 .channel(NioServerSocketChannel.class)
-                .handler(new Listener())
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        // One for each attempt to listen.
+                        channel.pipeline().addLast(new AcceptFailures());
+                    }
+                })
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
@@ -168,18 +173,15 @@
 
     /** Begins to listen, beside another process that does so at the same address. */
     ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bound = bootstrap.bind(address);
-        listener = bound.channel();
-        return bound;
+        return bootstrap.bind(address);
     }
 
     /**
-     * Takes no new connection, and ends each that stands with the answer to its next request. None is closed
-     * between requests: one that is on its way to it would be ended without an answer.
+     * Ends each connection that stands with the answer to its next request. None is closed between requests: one that
+     * is on its way to it would be ended without an answer.
      */
     void close() {
         closing = true;
-        listener.close();
     }
 
     /**
@@ -202,18 +204,13 @@
 
     /**
      * Another process takes clients from now on: each connection here ends with its next answer, and none waits for
-     * long. {@link #leave} ends the listening, once the other one listens.
+     * long.
      */
     void handOver() {
         leaving = true;
         away = false;
     }
 
-    /** New connections are another process's. Not at once: those that have come are taken first. */
-    void leave() {
-        loop.execute(listener::close);
-    }
-
     /** Another process shares the descriptors, or does not any more. */
     void bound(int most) {
         mostClients = most;
@@ -240,8 +237,8 @@
         return !idle.isEmpty();
     }
 
-    /** The listener's own side: told where a connection can't be accepted. */
-    private final class Listener extends ChannelInboundHandlerAdapter {
+    /** Told where a connection can't be accepted. */
+    private final class AcceptFailures extends ChannelInboundHandlerAdapter {
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             // Else Netty stops accepting for a second, lest the loop spin.
--- a/src/main/java/kestreldeal/net/Ops.java
+++ b/src/main/java/kestreldeal/net/Ops.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -19,7 +20,6 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -52,7 +52,6 @@
     private final ServerBootstrap bootstrap;
     /** Connections that have not asked yet, the oldest first. */
     private final Set<Channel> asking = new LinkedHashSet<>();
-    private Optional<Channel> listener = Optional.empty();
     private int open;
 
     Ops(EventLoop loop, Desk desk) {
@@ -73,15 +72,9 @@
                 });
     }
 
-    /** Begins to listen, and waits until it does: so it is not called on the loop. */
-    InetSocketAddress listen(InetSocketAddress address) {
-        listener = Optional.of(bootstrap.bind(address).syncUninterruptibly().channel());
-        return (InetSocketAddress) listener.get().localAddress();
-    }
-
-    /** Listens no more. */
-    void close() {
-        listener.ifPresent(Channel::close);
+    /** Begins to listen. */
+    ChannelFuture listen(InetSocketAddress address) {
+        return bootstrap.bind(address);
     }
 
     private String answer(String call) {
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -1,6 +1,5 @@
 package kestreldeal.net;
 
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -38,8 +37,6 @@
     private static final long DRAIN_POLL_MS = 20;
     /** After that, so long for clients to see that their connections end, and to close them. */
     private static final long PARTING_MS = 200;
-    /** A process that has taken over has to listen, even if the address is not free yet. */
-    private static final long LISTEN_AGAIN_MS = 50;
     /** A keyed repeat is written so long before its window ends: it still has to arrive. */
     private static final double WRITTEN_MARGIN_MS = 150;
     /** An endpoint that has left the list is forgotten after so long: no call lasts till then. */
@@ -81,8 +78,9 @@
     private Intake intake;
     private Ops ops;
     private final Figures figures;
+    private Listener clientListener;
     /** Where operators connect, if anywhere. */
-    private InetSocketAddress operators;
+    private Optional<Listener> operatorListener = Optional.empty();
     private boolean turnOpen;
     private double clock;
     private boolean closing;
@@ -99,7 +97,6 @@
     private final Map<Out, Held> elsewhere = new HashMap<>();
     /** Another process has taken over: nothing is decided here any more. */
     private boolean handedOver;
-    private Optional<ChannelFuture> listening = Optional.empty();
     private final Clients clients = new Clients();
 
     private record Out(long message, int attempt) {
@@ -128,8 +125,8 @@
         try {
             Sender sender = new Sender(Config.read(env), links, TAKING_MS, CLOSING_MS);
             Hangup.handle(() -> sender.reload(env));
-            sender.start();
             Runtime.getRuntime().addShutdownHook(new Thread(sender::drain, "drain"));
+            sender.launch();
             sender.stopped.await();
             return 0;
         } catch (BadInput | IOException e) {
@@ -140,22 +137,30 @@
         }
     }
 
+    /** Begins to serve, or to follow the process that does; what can't be had at once is waited for by itself. */
+    private void launch() {
+        loop.submit(this::open).syncUninterruptibly();
+    }
+
     /**
-     * Begins to serve, or to follow the process that does; returns the address when clients can connect to it, or
-     * as configured where they can't yet.
+     * The same, and waits until clients can connect if this process leads; returns the address, as configured where
+     * they can't yet.
      */
-    InetSocketAddress start() throws IOException {
-        loop.submit(this::open).syncUninterruptibly();
-        operators = config.ops().map(ops::listen).orElse(null);
-        return listening.map(bound -> (InetSocketAddress) bound.syncUninterruptibly().channel().localAddress())
-                .orElse(config.listen());
+    InetSocketAddress start() {
+        launch();
+        return journal == null ? config.listen() : clientListener.bound().join();
     }
 
+    /** Where operators connect, once they can. */
     InetSocketAddress operators() {
-        return operators;
+        return operatorListener.orElseThrow().bound().join();
     }
 
-    private Void open() throws IOException {
+    private void open() {
+        if (closing) {
+            // It was told to end before it had begun.
+            return;
+        }
         int sockets = Math.max(config.sockets() - OTHER_SOCKETS, 64);
         mostClients = (int) (sockets * CLIENT_SHARE);
         // Twice the slots: the connection of a call that was given up lingers while its slot is in use again.
@@ -168,24 +173,15 @@
         ops = new Ops(loop, new Operators());
         discovery = new Discovery(loop, new Agent(loop, agentAddress), new Lists());
         succession = new Succession(loop, config.state(), links, new Successor());
+        clientListener = new Listener(loop, "clients", () -> intake.listen(config.listen()));
+        clientListener.bound().thenAccept(address -> {
+            Log.line(config.name() + " listens at " + Endpoints.hostPort(address));
+            succession.listens();
+        });
+        operatorListener = config.ops().map(address -> new Listener(loop, "operators", () -> ops.listen(address)));
         succession.start();
         discovery.start(config.file());
-        return null;
-    }
-
-    private void listen() {
-        ChannelFuture bound = intake.listen(config.listen());
-        listening = Optional.of(bound);
-        bound.addListener(f -> {
-            if (f.isSuccess()) {
-                Log.line(config.name() + " listens at "
-                        + Endpoints.hostPort((InetSocketAddress) bound.channel().localAddress()));
-                succession.listens();
-            } else {
-                Log.line("can't listen: " + f.cause().getMessage());
-                loop.schedule(this::listen, LISTEN_AGAIN_MS, TimeUnit.MILLISECONDS);
-            }
-        });
+        operatorListener.ifPresent(Listener::start);
     }
 
     /**
@@ -386,7 +382,9 @@
     }
 
     private void remember(String endpoint, Journal.Health health) {
-        journal.health(endpoint, health);
+        if (journal != null) {
+            journal.health(endpoint, health);
+        }
     }
 
     private void end(Held held, Held.Notice notice) {
@@ -681,7 +679,7 @@
                 intake.bound(mostClients / 2);
             }
             begin();
-            listen();
+            clientListener.start();
         }
 
         @Override
@@ -695,7 +693,8 @@
 
         @Override
         public void relieved() {
-            intake.leave();
+            // Not at once: the connections that have come are taken first.
+            loop.execute(clientListener::close);
         }
 
         /** Its client hears the answer from the other process, but it is taken on here. */
@@ -769,7 +768,7 @@
     void drain() {
         long begun = System.nanoTime();
         loop.execute(() -> {
-            if (succession.hasFollower()) {
+            if (succession != null && succession.hasFollower()) {
                 handOver();
                 awaitIdle(begun);
                 return;
@@ -782,6 +781,7 @@
             }
             event(() -> relay.closing(openTurn(), clock + closingMs));
             loop.schedule(() -> {
+                clientListener.close();
                 intake.close();
                 awaitIdle(begun);
             }, takingMs, TimeUnit.MILLISECONDS);
@@ -818,10 +818,10 @@
     void kill() {
         loop.submit(() -> {
             succession.close();
-            ops.close();
+            operatorListener.ifPresent(Listener::close);
+            clientListener.close();
             if (journal != null) {
                 journal.close();
-                intake.leave();
             }
         }).syncUninterruptibly();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
--- a/src/main/java/kestreldeal/net/Succession.java
+++ b/src/main/java/kestreldeal/net/Succession.java
@@ -90,6 +90,8 @@
     private boolean leads;
     private boolean welcome;
     private boolean closed;
+    /** Why this process could not lead when it last tried. */
+    private String obstacle = "";
     /** What waits for the word of the process that leads now. */
     private final Map<Long, Consumer<HttpResponseStatus>> asked = new HashMap<>();
     private long asks;
@@ -102,13 +104,26 @@
         this.heir = heir;
     }
 
-    /** Leads at once if no other process does, else follows. */
-    void start() throws IOException {
-        if (helm.take()) {
-            lead(Optional.empty());
-        } else {
+    /** Leads at once if no other process does, else follows; where its folder fails it goes on trying. */
+    void start() {
+        try {
+            if (helm.take()) {
+                lead(Optional.empty());
+                return;
+            }
             Log.line("another process leads; this one follows");
-            seek();
+        } catch (IOException e) {
+            cantLead(e);
+        }
+        seek();
+    }
+
+    /** Told once for each reason: it is tried again and again. */
+    private void cantLead(IOException e) {
+        String reason = String.valueOf(e.getMessage());
+        if (!reason.equals(obstacle)) {
+            obstacle = reason;
+            Log.line("can't lead yet: " + reason);
         }
     }
 
@@ -124,7 +139,12 @@
 
     private void lead(Optional<Legacy> legacy) throws IOException {
         leads = true;
-        heir.lead(legacy);
+        try {
+            heir.lead(legacy);
+        } catch (IOException e) {
+            leads = false;
+            throw e;
+        }
         if (links) {
             listen();
         }
@@ -158,7 +178,7 @@
                 return;
             }
         } catch (IOException e) {
-            Log.line("can't lead yet: " + e.getMessage());
+            cantLead(e);
         }
         if (!links) {
             seekLater();
--- a/src/test/java/kestreldeal/net/OpsTest.java
+++ b/src/test/java/kestreldeal/net/OpsTest.java
@@ -45,7 +45,8 @@
                 away = clientsAway;
             }
         });
-        address = ops.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        address = (InetSocketAddress) ops.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .syncUninterruptibly().channel().localAddress();
     }
 
     @AfterEach
