--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -138,6 +139,11 @@
     private boolean leaving;
 
     Intake(EventLoop loop, int mostClients, Desk desk) {
+        this(loop, mostClients, desk, NioServerSocketChannel::new);
+    }
+
+    /** The same with a way of its own to make the channel that listens, whose accepts may fail. */
+    Intake(EventLoop loop, int mostClients, Desk desk, ChannelFactory<NioServerSocketChannel> listeners) {
         this.loop = loop;
         this.desk = desk;
         this.mostClients = mostClients;
@@ -145,7 +151,7 @@
             clients.put(state, new LinkedHashSet<>());
         }
         bootstrap = new ServerBootstrap().group(loop, loop)
-                .channel(NioServerSocketChannel.class)
+                .channelFactory(listeners)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- /dev/null
+++ b/src/test/java/kestreldeal/net/AcceptFailureTest.java
@@ -0,0 +1,86 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Accepts that fail for a moment because of the machine, while this process has descriptors enough. */
+class AcceptFailureTest {
+    private static final int MOST = 100;
+    private static final int BEFORE = 10;
+    /** More than the clients that stay at least where descriptors lack. */
+    private static final int BEHIND = 40;
+    private static final int FAILURES = 3;
+    private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final AtomicInteger failures = new AtomicInteger();
+    private final List<Socket> clients = new ArrayList<>();
+    private InetSocketAddress address;
+
+    /** One whose next accepts fail as they do where the whole machine has no file left. */
+    private final class FailingListener extends NioServerSocketChannel {
+        @Override
+        protected int doReadMessages(List<Object> accepted) throws Exception {
+            if (failures.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+                throw new IOException("Too many open files in system");
+            }
+            return super.doReadMessages(accepted);
+        }
+    }
+
+    @BeforeEach
+    void open() {
+        Intake intake = new Intake(group.next(), MOST, new ReadyDesk(), FailingListener::new);
+        address = (InetSocketAddress) intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .syncUninterruptibly().channel().localAddress();
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        for (Socket client : clients) {
+            client.close();
+        }
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    private static void assertServed(Socket client) throws IOException {
+        Stub.write(client, HEALTH);
+        Stub.Message answer = Stub.read(new BufferedInputStream(client.getInputStream()), 0);
+        assertEquals("HTTP/1.1 200 OK", answer == null ? "closed" : answer.line());
+    }
+
+    private void connect(int many) throws IOException {
+        for (int i = 0; i < many; i++) {
+            Socket client = new Socket(address.getAddress(), address.getPort());
+            clients.add(client);
+            assertServed(client);
+        }
+    }
+
+    @Test
+    void theyCostNobodyTheConnectionAndLowerNoBound() throws Exception {
+        connect(BEFORE);
+        failures.set(FAILURES);
+        connect(BEHIND);
+        assertEquals(0, failures.get());
+        for (Socket client : clients) {
+            assertServed(client);
+        }
+    }
+}
--- a/src/test/java/kestreldeal/net/IntakeTest.java
+++ b/src/test/java/kestreldeal/net/IntakeTest.java
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.BufferedInputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -24,50 +23,8 @@
 class IntakeTest {
     private static final int MOST = 10;
 
-    /** A desk that is ready and knows nothing. */
-    private static final class NoDesk implements Intake.Desk {
-        @Override
-        public boolean ready() {
-            return true;
-        }
-
-        @Override
-        public boolean knowsClass(String name) {
-            return false;
-        }
-
-        @Override
-        public boolean knowsTenant(String name) {
-            return false;
-        }
-
-        @Override
-        public boolean needsKey(String messageClass) {
-            return false;
-        }
-
-        @Override
-        public boolean knowsDestination(long destination) {
-            return false;
-        }
-
-        @Override
-        public Optional<HttpResponseStatus> answeredBefore(String id) {
-            return Optional.empty();
-        }
-
-        @Override
-        public Optional<Held> take(Intake.Submission submission) {
-            return Optional.empty();
-        }
-
-        @Override
-        public void answered(Held held, boolean heard) {
-        }
-    }
-
     /** A desk that knows all, has room for nothing, and notes what it was asked to take. */
-    private static final class NotingDesk implements Intake.Desk {
+    private static final class NotingDesk extends ReadyDesk {
         private final List<String> asked = new CopyOnWriteArrayList<>();
         /** Run as it is asked whether it is ready. */
         private volatile Runnable asking = () -> { };
@@ -90,31 +47,17 @@
             return true;
         }
 
-        @Override
-        public boolean needsKey(String messageClass) {
-            return false;
-        }
-
         @Override
         public boolean knowsDestination(long destination) {
             return true;
         }
 
-        @Override
-        public Optional<HttpResponseStatus> answeredBefore(String id) {
-            return Optional.empty();
-        }
-
         @Override
         public Optional<Held> take(Intake.Submission submission) {
             taking.run();
             asked.add(submission.id());
             return Optional.empty();
         }
-
-        @Override
-        public void answered(Held held, boolean heard) {
-        }
     }
 
     private static void submit(Socket socket, String id) throws Exception {
@@ -175,7 +118,7 @@
         List<Socket> sockets = new ArrayList<>();
         try {
             EventLoop loop = group.next();
-            Intake intake = new Intake(loop, MOST, new NoDesk());
+            Intake intake = new Intake(loop, MOST, new ReadyDesk());
             InetSocketAddress address = listen(intake);
             CountDownLatch connected = new CountDownLatch(1);
             keepBusy(loop, connected);
