Tell a process without descriptors apart from a machine that can't accept for a moment

Cause: Intake.leaveSpare took any IOException of an accept for the process having no descriptor left, sent 32 idle clients away each time and kept the bound at 32 for good. Change: Descriptors asks the system whether this process can still open anything. If it can, accepting pauses 5 to 160 ms. The log's lines say which it is.

--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -80,8 +80,11 @@
     private static final long SWEEP_MS = 200;
     /** Reads of one connection before the next one's turn. */
     private static final int READS = 16;
-    /** Descriptors that clients leave free once they were seen to hold the last one, and clients that stay at least. */
-    private static final int SPARE = 32;
+    /** Pauses before the next accept where one has failed: the first, and the longest of a row of failures. */
+    private static final long FIRST_ACCEPT_PAUSE_MS = 5;
+    private static final long MOST_ACCEPT_PAUSE_MS = 160;
+    /** From one line in the log about that to the next. */
+    private static final long ACCEPT_LINE_MS = 10_000;
 
     /** What a request asks to be delivered. */
     record Submission(String id, String messageClass, String tenant, Optional<String> key, long destination,
@@ -128,7 +131,8 @@
 
     private final EventLoop loop;
     private final Desk desk;
-    private int mostClients;
+    private final Descriptors descriptors;
+    private final ClientBound bound;
     /** The connections in each state, those that are in it longest first. */
     private final Map<State, Set<Client>> clients = new EnumMap<>(State.class);
     private final ServerBootstrap bootstrap;
@@ -139,14 +143,16 @@
     private boolean leaving;
 
     Intake(EventLoop loop, int mostClients, Desk desk) {
-        this(loop, mostClients, desk, NioServerSocketChannel::new);
+        this(loop, mostClients, desk, NioServerSocketChannel::new, Descriptors.system());
     }
 
     /** The same with a way of its own to make the channel that listens, whose accepts may fail. */
-    Intake(EventLoop loop, int mostClients, Desk desk, ChannelFactory<NioServerSocketChannel> listeners) {
+    Intake(EventLoop loop, int mostClients, Desk desk, ChannelFactory<NioServerSocketChannel> listeners,
+            Descriptors descriptors) {
         this.loop = loop;
+        this.descriptors = descriptors;
         this.desk = desk;
-        this.mostClients = mostClients;
+        this.bound = new ClientBound(mostClients);
         for (State state : State.values()) {
             clients.put(state, new LinkedHashSet<>());
         }
@@ -219,7 +225,7 @@
 
     /** Another process shares the descriptors, or does not any more. */
     void bound(int most) {
-        mostClients = most;
+        bound.set(most);
     }
 
     /** Connections that clients have open. */
@@ -229,28 +235,53 @@
 
     /**
      * The last descriptor is a client's: calls, the agent and the journal have none left. The bound was too high for
-     * what this process holds beside its clients, so it is lower from now on.
+     * what this process holds beside its clients, so it is lower for a while.
      *
      * @return whether any client could be sent away without breaking off a request
      */
     private boolean leaveSpare() {
-        mostClients = Math.max(SPARE, clients() - SPARE);
+        long now = System.nanoTime();
+        bound.lower(clients(), now);
         List<Client> idle = clients.entrySet().stream().filter(e -> e.getKey() != State.ASKING)
-                .flatMap(e -> e.getValue().stream()).limit(SPARE).toList();
+                .flatMap(e -> e.getValue().stream()).limit(ClientBound.SPARE).toList();
         idle.forEach(Client::makeRoom);
-        Log.line("no descriptor is left; " + idle.size() + " idle clients are sent away, " + mostClients
-                + " may stay from now on");
+        Log.line("no descriptor is left; " + idle.size() + " idle clients are sent away, " + bound.most(now)
+                + " may stay for now");
         return !idle.isEmpty();
     }
 
     /** Told where a connection can't be accepted. */
     private final class AcceptFailures extends ChannelInboundHandlerAdapter {
+        private long pauseMs = FIRST_ACCEPT_PAUSE_MS;
+        private long loggedNanos = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(ACCEPT_LINE_MS);
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object accepted) {
+            pauseMs = FIRST_ACCEPT_PAUSE_MS;
+            ctx.fireChannelRead(accepted);
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            // Else Netty stops accepting for a second, lest the loop spin.
-            if (!(cause instanceof IOException) || !leaveSpare()) {
+            if (!(cause instanceof IOException)) {
                 ctx.fireExceptionCaught(cause);
+            } else if (descriptors.anyLeft() || !leaveSpare()) {
+                pause(ctx.channel());
+            }
+        }
+
+        /** Lest the loop spin. Netty itself would stop accepting for a second. */
+        private void pause(Channel listening) {
+            long now = System.nanoTime();
+            if (now - loggedNanos >= TimeUnit.MILLISECONDS.toNanos(ACCEPT_LINE_MS)) {
+                loggedNanos = now;
+                Log.line("the machine can't accept a connection just now; it is tried again");
             }
+            listening.config().setAutoRead(false);
+            loop.schedule(() -> {
+                listening.config().setAutoRead(true);
+            }, pauseMs, TimeUnit.MILLISECONDS);
+            pauseMs = Math.min(MOST_ACCEPT_PAUSE_MS, 2 * pauseMs);
         }
     }
 
@@ -408,7 +439,7 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             clients.get(state).add(this);
-            if (clients() > mostClients) {
+            if (clients() > bound.most(System.nanoTime())) {
                 clients.values().stream().flatMap(Set::stream).filter(c -> c != this).findFirst().orElse(this)
                         .makeRoom();
             }
--- a/src/test/java/kestreldeal/net/AcceptFailureTest.java
+++ b/src/test/java/kestreldeal/net/AcceptFailureTest.java
@@ -31,6 +31,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final AtomicInteger failures = new AtomicInteger();
     private final List<Socket> clients = new ArrayList<>();
+    private volatile boolean descriptorsLeft = true;
     private InetSocketAddress address;
 
     /** One whose next accepts fail as they do where the whole machine has no file left. */
@@ -46,7 +47,7 @@
 
     @BeforeEach
     void open() {
-        Intake intake = new Intake(group.next(), MOST, new ReadyDesk(), FailingListener::new);
+        Intake intake = new Intake(group.next(), MOST, new ReadyDesk(), FailingListener::new, () -> descriptorsLeft);
         address = (InetSocketAddress) intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                 .syncUninterruptibly().channel().localAddress();
     }
@@ -83,4 +84,17 @@
             assertServed(client);
         }
     }
+
+    /** Those that rest leave their descriptors to calls, the agent and the journal. */
+    @Test
+    void whereThisProcessHasNoneLeftTheIdleOnesMakeRoom() throws Exception {
+        connect(BEFORE);
+        descriptorsLeft = false;
+        failures.set(1);
+        clients.add(new Socket(address.getAddress(), address.getPort()));
+        assertServed(clients.get(BEFORE));
+        for (Socket idle : clients.subList(0, BEFORE)) {
+            assertEquals(-1, idle.getInputStream().read(), "it was sent away");
+        }
+    }
 }
--- a/src/test/java/kestreldeal/net/DescriptorsTest.java
+++ b/src/test/java/kestreldeal/net/DescriptorsTest.java
@@ -150,6 +150,7 @@
                 .anyMatch(r -> r.header("X-Call-Id").equals("last")));
         String log = Files.readString(world.log());
         assertFalse(log.contains("journal:"), log);
+        assertFalse(log.contains("journal can't"), log);
         System.out.println("at most " + mostOpen + " of " + limit + " descriptors were seen in use");
     }
 
