--- a/src/test/java/kestreldeal/net/IntakeTest.java
+++ b/src/test/java/kestreldeal/net/IntakeTest.java
@@ -139,6 +139,27 @@
         }
     }
 
+    /** Its request has been read in part: a close would end it with no answer. */
+    @Test
+    void nobodyInTheMiddleOfARequestMakesRoomForANewcomer() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (Socket first = new Socket(); Socket second = new Socket(); Socket newcomer = new Socket()) {
+            InetSocketAddress address = listen(new Intake(group.next(), 2, new ReadyDesk()));
+            for (Socket asking : List.of(first, second)) {
+                asking.connect(address);
+                // The half is decoded with the request before it, so it is known once that is answered.
+                assertEquals("HTTP/1.1 200 OK", ask(asking, HEALTH + HEALTH.substring(0, 10)).line());
+            }
+            newcomer.connect(address);
+            assertEquals(-1, newcomer.getInputStream().read());
+            for (Socket asking : List.of(first, second)) {
+                assertEquals("HTTP/1.1 200 OK", ask(asking, HEALTH.substring(10)).line());
+            }
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        }
+    }
+
     /** Found on join+brink: what one client sent at once was decoded in one go, and held up all else for 0.4 s. */
     @Test
     void aClientThatSendsMuchAtOnceHasOneTurnAtATime() throws Exception {
