Let no later request in progress make room, and answer a first one before its connection goes

Cause: Client.channelActive took the first of all states, ASKING too. Change: the newcomer goes if all others ask; a first request that has come in part is answered 503 before the close.

--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -49,6 +49,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import kestreldeal.BadInput;
 
 /**
@@ -228,6 +229,11 @@
         bound.set(most);
     }
 
+    /** Connections on which a request has come in part. */
+    long begun() {
+        return clients.values().stream().flatMap(Set::stream).filter(c -> c.begun).count();
+    }
+
     /** Connections that clients have open. */
     int clients() {
         return clients.values().stream().mapToInt(Set::size).sum();
@@ -242,14 +248,18 @@
     private boolean leaveSpare() {
         long now = System.nanoTime();
         bound.lower(clients(), now);
-        List<Client> idle = clients.entrySet().stream().filter(e -> e.getKey() != State.ASKING)
-                .flatMap(e -> e.getValue().stream()).limit(ClientBound.SPARE).toList();
+        List<Client> idle = withoutLaterRequest().limit(ClientBound.SPARE).toList();
         idle.forEach(Client::makeRoom);
         Log.line("no descriptor is left; " + idle.size() + " idle clients are sent away, " + bound.most(now)
                 + " may stay for now");
         return !idle.isEmpty();
     }
 
+    /** Those that can make room for others, the least in need of their connection first. */
+    private Stream<Client> withoutLaterRequest() {
+        return clients.entrySet().stream().filter(e -> e.getKey() != State.ASKING).flatMap(e -> e.getValue().stream());
+    }
+
     /** Told where a connection can't be accepted. */
     private final class AcceptFailures extends ChannelInboundHandlerAdapter {
         private long pauseMs = FIRST_ACCEPT_PAUSE_MS;
@@ -440,14 +450,16 @@
         public void channelActive(ChannelHandlerContext ctx) {
             clients.get(state).add(this);
             if (clients() > bound.most(System.nanoTime())) {
-                clients.values().stream().flatMap(Set::stream).filter(c -> c != this).findFirst().orElse(this)
-                        .makeRoom();
+                withoutLaterRequest().filter(c -> c != this).findFirst().orElse(this).makeRoom();
             }
         }
 
         /** Gone at once: of a crowd that connects in one turn each must find another to take the place of. */
         private void makeRoom() {
             clients.get(state).remove(this);
+            if (state == State.SILENT && begun) {
+                channel.writeAndFlush(answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many clients"));
+            }
             channel.close();
         }
 
--- a/src/test/java/kestreldeal/net/IntakeTest.java
+++ b/src/test/java/kestreldeal/net/IntakeTest.java
@@ -160,6 +160,26 @@
         }
     }
 
+    /** A first request that has come in part is refused before its connection goes. */
+    @Test
+    void whoMakesRoomInTheMiddleOfAFirstRequestGetsAnAnswer() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (Socket slow = new Socket(); Socket newcomer = new Socket()) {
+            EventLoop loop = group.next();
+            Intake intake = new Intake(loop, 1, new ReadyDesk());
+            InetSocketAddress address = listen(intake);
+            slow.connect(address);
+            Stub.write(slow, HEALTH.substring(0, 10));
+            Stub.await("its first bytes are read", () -> loop.submit(intake::begun).syncUninterruptibly().getNow() == 1);
+            newcomer.connect(address);
+            assertEquals("HTTP/1.1 200 OK", ask(newcomer, HEALTH).line());
+            assertEquals("HTTP/1.1 503 Service Unavailable",
+                    Stub.read(new BufferedInputStream(slow.getInputStream()), 0).line());
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        }
+    }
+
     /** Found on join+brink: what one client sent at once was decoded in one go, and held up all else for 0.4 s. */
     @Test
     void aClientThatSendsMuchAtOnceHasOneTurnAtATime() throws Exception {
