--- /dev/null
+++ b/src/test/java/kestreldeal/net/ConnectFailureTest.java
@@ -0,0 +1,102 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.BindException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.SocketAddress;
+import java.net.SocketException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+import kestreldeal.Relay.Outcome;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Connects that fail because of this machine say nothing of the endpoint, and are tried again. */
+class ConnectFailureTest {
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final BlockingQueue<Outcome> ends = new LinkedBlockingQueue<>();
+    /** What the next connects fail with, the last one for good if that is wanted. */
+    private final Deque<Supplier<Exception>> failures = new ArrayDeque<>();
+    private boolean forGood;
+    private int connects;
+    private Stub stub;
+    private Endpoints endpoints;
+
+    private final class FailingChannel extends NioSocketChannel {
+        @Override
+        protected boolean doConnect(SocketAddress remote, SocketAddress local) throws Exception {
+            connects++;
+            if (!failures.isEmpty()) {
+                throw (forGood ? failures.peek() : failures.remove()).get();
+            }
+            return super.doConnect(remote, local);
+        }
+    }
+
+    @BeforeEach
+    void open() throws Exception {
+        stub = new Stub(Stub.status(200, ""));
+        loop.submit(() -> {
+            endpoints = new Endpoints(loop, 1000, 15_000, 4, (call, outcome, gone, waitMs, report) -> ends.add(outcome),
+                    FailingChannel::new, MachineClock.system());
+            endpoints.at(1, stub.address(), true, 1);
+        }).sync();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        stub.close();
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    private Outcome call() throws Exception {
+        Held held = Held.withTimeLeft(1, "id", "order", "", Optional.of("key"), 7, 20_000, new byte[1],
+                MachineClock.system());
+        loop.execute(() -> endpoints.call(held, 0, 1, 20_000, System.nanoTime()));
+        return ends.poll(30, TimeUnit.SECONDS);
+    }
+
+    private void failWith(boolean always, List<Supplier<Exception>> with) throws Exception {
+        loop.submit(() -> {
+            failures.addAll(with);
+            forGood = always;
+        }).sync();
+    }
+
+    private static Supplier<Exception> failure(Supplier<Exception> failure) {
+        return failure;
+    }
+
+    /** As the system's calls are told: EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EHOSTUNREACH. */
+    private static Stream<Supplier<Exception>> momentary() {
+        return Stream.of(failure(() -> new BindException("Cannot assign requested address")),
+                failure(() -> new SocketException("Network is unreachable")),
+                failure(() -> new SocketException("No buffer space available")),
+                failure(() -> new NoRouteToHostException("No route to host")));
+    }
+
+    @ParameterizedTest
+    @MethodSource("momentary")
+    void oneThatFailsForAMomentIsTriedAgain(Supplier<Exception> failure) throws Exception {
+        failWith(false, List.of(failure, failure));
+        assertEquals(Outcome.DELIVERED, call());
+        assertEquals(3, connects);
+    }
+}
