Try a connect again that this machine could not begin, and hold nothing against the endpoint

Cause: Connector told every failure but a missing channel as that of the other side; the endpoint then counts as down. Refusals, resets and time-outs are the other side's, as before.

--- a/src/test/java/kestreldeal/net/ConnectFailureTest.java
+++ b/src/test/java/kestreldeal/net/ConnectFailureTest.java
@@ -24,6 +24,7 @@
 import kestreldeal.Relay.Outcome;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -99,4 +100,31 @@
         assertEquals(Outcome.DELIVERED, call());
         assertEquals(3, connects);
     }
+
+    @Test
+    void whatTheMachineCantDoForLongIsNoWordOfTheEndpoint() throws Exception {
+        failWith(true, List.of(failure(() -> new BindException("Cannot assign requested address"))));
+        assertEquals(Outcome.NOT_SENT, call());
+    }
+
+    @Test
+    void anEndpointThatCantBeReachedForLongIsUnreachable() throws Exception {
+        failWith(true, List.of(failure(() -> new NoRouteToHostException("No route to host"))));
+        assertEquals(Outcome.UNREACHABLE, call());
+    }
+
+    /** The other side has said no: it is not asked again and again. */
+    @ParameterizedTest
+    @MethodSource("refusals")
+    void aRefusalIsTakenAtItsWord(Supplier<Exception> refusal) throws Exception {
+        failWith(true, List.of(refusal));
+        assertEquals(Outcome.UNREACHABLE, call());
+        assertEquals(1, connects);
+    }
+
+    private static Stream<Supplier<Exception>> refusals() {
+        return Stream.of(failure(() -> new ConnectException("Connection refused")),
+                failure(() -> new ConnectException("Connection timed out")),
+                failure(() -> new SocketException("Connection reset by peer")));
+    }
 }
