--- /dev/null
+++ b/src/test/java/kestreldeal/net/NoticesTest.java
@@ -0,0 +1,55 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Notices to an agent that can't read one of them. */
+class NoticesTest {
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final List<String> heard = new CopyOnWriteArrayList<>();
+    private Stub agent;
+    private Notices notices;
+
+    @BeforeEach
+    void open() throws Exception {
+        agent = new Stub((request, socket) -> Stub.write(socket, "HTTP/1.1 "
+                + (request.body().contains("unreadable") ? 400 : 204) + " x\r\nContent-Length: 0\r\n\r\n"));
+        notices = new Notices(loop, new Agent(loop, agent.address()), held -> heard.add(held.id));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        agent.close();
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    private void owe(String... ids) {
+        loop.execute(() -> {
+            for (String id : ids) {
+                Held held = Held.withTimeLeft(1, id, "order", "", Optional.empty(), 7, 1000, new byte[0],
+                        MachineClock.system());
+                held.owed = Optional.of(new Held.Notice(false, 0));
+                notices.owe(held);
+            }
+        });
+    }
+
+    @Test
+    void oneThatCantBeReadHoldsUpNoOther() throws Exception {
+        owe("a", "b", "unreadable", "c", "d");
+        Stub.await("all others are heard", () -> heard.containsAll(List.of("a", "b", "c", "d")));
+        assertEquals(0, heard.indexOf("a"));
+    }
+}
