Tell notices of a request that can't be read one at a time, and give one up after five

Cause: Notices.answered put every batch back that was not answered 204. Change: those of one answered 400 go alone and behind the others; one that is answered so five times is told no more, with a line that names it.

--- a/src/main/java/kestreldeal/net/Notices.java
+++ b/src/main/java/kestreldeal/net/Notices.java
@@ -21,7 +21,8 @@
 
 /**
  * The notices that the platform must hear of, in the order owed. One request at a time is out, with as many of
- * them as a body holds; what was not heard goes out again, since a notice that comes twice does no harm.
+ * them as a body holds; what was not heard goes out again, since a notice that comes twice does no harm. Those of a
+ * request that can't be read go one at a time from then on, and behind the others, lest one of them hold up all.
  */
 final class Notices {
     /** A body holds at most 64 KiB. */
@@ -29,17 +30,29 @@
     /** The agent answers at once; later than this its connection is taken for cut. */
     private static final long SILENT_MS = 500;
     private static final long PAUSE_MS = 100;
+    /** A notice that can't be read so often never will be. */
+    private static final int MOST_REFUSALS = 5;
 
     private final EventLoop loop;
     private final Consumer<Held> heard;
     private final JsonMapper json = JsonMapper.builder().build();
-    private final Deque<Held> waiting = new ArrayDeque<>();
+    private final Deque<Owed> waiting = new ArrayDeque<>();
     /** What the request that is out tells; empty if none is. */
-    private List<Held> told = List.of();
+    private List<Owed> told = List.of();
     private Agent agent;
     private boolean pausing;
     private boolean stopped;
 
+    /** A notice, and how often a request with it could not be read. */
+    private static final class Owed {
+        private final Held held;
+        private int refusals;
+
+        Owed(Held held) {
+            this.held = held;
+        }
+    }
+
     Notices(EventLoop loop, Agent agent, Consumer<Held> heard) {
         this.loop = loop;
         this.agent = agent;
@@ -48,7 +61,7 @@
 
     /** Tells the notice that this message owes, until it is heard. */
     void owe(Held held) {
-        waiting.add(held);
+        waiting.add(new Owed(held));
         tell();
     }
 
@@ -78,13 +91,15 @@
             return;
         }
         ByteArrayOutputStream body = new ByteArrayOutputStream();
-        List<Held> batch = new ArrayList<>();
-        byte[] line = line(waiting.peek());
+        List<Owed> batch = new ArrayList<>();
+        boolean alone = waiting.peek().refusals > 0;
+        byte[] line = line(waiting.peek().held);
         do {
             body.writeBytes(line);
             batch.add(waiting.remove());
-            line = waiting.isEmpty() ? line : line(waiting.peek());
-        } while (!waiting.isEmpty() && body.size() + line.length <= MOST_BYTES);
+            line = waiting.isEmpty() ? line : line(waiting.peek().held);
+        } while (!alone && !waiting.isEmpty() && waiting.peek().refusals == 0
+                && body.size() + line.length <= MOST_BYTES);
         told = batch;
         agent.ask(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/reports",
                 Unpooled.wrappedBuffer(body.toByteArray())), SILENT_MS, new Answer());
@@ -105,19 +120,43 @@
 
         @Override
         public void ends(Optional<String> fault) {
-            answered(fault.isEmpty() && status == HttpResponseStatus.NO_CONTENT.code());
+            if (fault.isPresent()) {
+                putBack();
+            } else if (status == HttpResponseStatus.NO_CONTENT.code()) {
+                heard();
+                return;
+            } else if (status == HttpResponseStatus.BAD_REQUEST.code()) {
+                refused();
+            } else {
+                putBack();
+            }
+            tellLater();
         }
     }
 
-    private void answered(boolean taken) {
-        if (taken) {
-            List<Held> done = told;
-            told = List.of();
-            done.forEach(heard);
-            tell();
-            return;
+    private void heard() {
+        List<Owed> done = told;
+        told = List.of();
+        done.forEach(owed -> heard.accept(owed.held));
+        tell();
+    }
+
+    /** The agent can't read what it was told: each goes alone from now on, behind those that may be read. */
+    private void refused() {
+        List<Owed> unread = told;
+        told = List.of();
+        for (Owed owed : unread) {
+            owed.refusals++;
+            if (owed.refusals < MOST_REFUSALS) {
+                waiting.add(owed);
+            } else {
+                Log.line("a notice can't be read by the platform and is told no more: " + owed.held.id);
+                heard.accept(owed.held);
+            }
         }
-        putBack();
+    }
+
+    private void tellLater() {
         pausing = true;
         loop.schedule(() -> {
             pausing = false;
--- a/src/test/java/kestreldeal/net/NoticesTest.java
+++ b/src/test/java/kestreldeal/net/NoticesTest.java
@@ -46,10 +46,20 @@
         });
     }
 
+    private int owed() {
+        return loop.submit(notices::owed).syncUninterruptibly().getNow();
+    }
+
     @Test
     void oneThatCantBeReadHoldsUpNoOther() throws Exception {
         owe("a", "b", "unreadable", "c", "d");
         Stub.await("all others are heard", () -> heard.containsAll(List.of("a", "b", "c", "d")));
         assertEquals(0, heard.indexOf("a"));
+        Stub.await("it is given up", () -> owed() == 0);
+        assertEquals(5, heard.size());
+        long sent = agent.requests.stream().filter(r -> r.body().contains("unreadable")).count();
+        assertEquals(5, sent);
+        assertEquals(4, agent.requests.stream().filter(r -> r.body().contains("unreadable"))
+                .filter(r -> r.body().lines().count() == 1).count());
     }
 }
