--- /dev/null
+++ b/src/test/java/kestreldeal/net/RelistedEndpointTest.java
@@ -0,0 +1,60 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** An endpoint that the list names under the same id as one of another destination. */
+class RelistedEndpointTest {
+    private static final int OTHER_DESTINATION = 5;
+
+    @TempDir
+    private Path folder;
+    private Stub endpoint;
+    private Surroundings world;
+    private Sender sender;
+    private InetSocketAddress address;
+
+    @BeforeEach
+    void open() throws Exception {
+        endpoint = new Stub(Stub.status(200, ""));
+        world = new Surroundings(folder, endpoint);
+        sender = world.sender();
+        address = sender.start();
+        Stub.await("it is ready", () -> Surroundings.ask(address, Surroundings.HEALTH) == 200);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        sender.kill();
+        world.close();
+        endpoint.close();
+    }
+
+    private List<String> called() {
+        return endpoint.requests.stream().map(r -> r.header("X-Call-Id")).toList();
+    }
+
+    private void handIn(String id, long destination) {
+        assertEquals(202, Surroundings.ask(address, Surroundings.message(id, "order", destination, "")));
+    }
+
+    @Test
+    void itGetsWhatIsForItsNewDestinationAndNothingElse() throws Exception {
+        handIn("before", 0);
+        Stub.await("it is called", () -> called().equals(List.of("before")));
+        world.firstDestination = OTHER_DESTINATION;
+        Stub.await("the change is known", () -> world.agent.requests.stream()
+                .anyMatch(r -> r.line().contains("after=" + world.generation())));
+        handIn("for nobody", 0);
+        handIn("for it", OTHER_DESTINATION);
+        Stub.await("it is called again", () -> called().size() == 2);
+        assertEquals(List.of("before", "for it"), called());
+    }
+}
--- a/src/test/java/kestreldeal/net/Surroundings.java
+++ b/src/test/java/kestreldeal/net/Surroundings.java
@@ -27,6 +27,7 @@
     final Stub agent;
     final List<String> notices = new CopyOnWriteArrayList<>();
     volatile String firstState = "SERVING";
+    volatile int firstDestination;
     int endpoints = 1;
     int windowMs = 20_000;
     int dialMs = 1000;
@@ -77,14 +78,14 @@
     }
 
     int generation() {
-        return 1000 + Math.abs(firstState.hashCode() % 1000);
+        return 1000 + Math.abs(firstState.hashCode() % 1000) + 1000 * firstDestination;
     }
 
     String list() {
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < endpoints; i++) {
             entries.add("{\"instanceId\":\"s-" + i + "\",\"hostPort\":\"" + endpoint.hostPort()
-                    + "\",\"zone\":\"a\",\"machineType\":\"m\",\"cell\":" + i + ",\"lifecycle\":\""
+                    + "\",\"zone\":\"a\",\"machineType\":\"m\",\"cell\":" + (i == 0 ? firstDestination : i) + ",\"lifecycle\":\""
                     + (i == 0 ? firstState : "SERVING") + "\",\"weight\":1.0,\"startedAtMs\":0}");
         }
         return "{\"generation\":" + generation() + ",\"reset\":true,\"instances\":[" + String.join(",", entries) + "]}";
