Take an endpoint that is listed for another destination for another endpoint

Cause: Directory gave the same number whatever the list says, and Logic keeps a target by its number. Change: the old number is told as gone, and the id gets a new one.

--- a/src/main/java/kestreldeal/net/Directory.java
+++ b/src/main/java/kestreldeal/net/Directory.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -113,6 +114,21 @@
         return passedOver;
     }
 
+    /**
+     * The answer is about to name an endpoint: the one that bore its id so far, if that was of another destination. It
+     * is gone, and another number is given to the one that bears the id now.
+     */
+    Optional<Listed> displaced(Discovery.Entry entry, long nowNanos) {
+        Listed known = byId.get(entry.id());
+        if (entry.gone() || known == null || known.destination == null
+                || known.destination.number == entry.destination()) {
+            return Optional.empty();
+        }
+        byId.remove(known.id);
+        goneSince.putIfAbsent(known, nowNanos);
+        return Optional.of(known);
+    }
+
     /** The answer names an endpoint, as there or as gone; its number, none where it is new and there is no room. */
     OptionalLong name(Discovery.Entry entry, long nowNanos) {
         if (byId.size() >= most && !byId.containsKey(entry.id())) {
@@ -127,7 +143,9 @@
             destinations.put(entry.destination(), destination);
         }
         destination.rate = entry.weight();
-        known.destination = destination;
+        if (!entry.gone() || known.destination == null) {
+            known.destination = destination;
+        }
         if (entry.gone()) {
             goneSince.putIfAbsent(known, nowNanos);
         } else {
@@ -158,7 +176,7 @@
             }
             gone.remove();
             old.add(oldest.getKey());
-            byId.remove(oldest.getKey().id);
+            byId.remove(oldest.getKey().id, oldest.getKey());
             byNumber.remove(oldest.getKey().number);
         }
         return old;
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -520,6 +520,10 @@
             if (e.address().isEmpty() && directory.known(e.id()).isEmpty()) {
                 continue;
             }
+            directory.displaced(e, now).ifPresent(other -> {
+                endpoints.closeIdle(other.number());
+                list.add(goneEndpoint(other));
+            });
             OptionalLong room = directory.name(e, now);
             if (room.isEmpty()) {
                 continue;
@@ -536,16 +540,21 @@
 
     /** A whole list has ended. Those that it did not name get the rate that they or their destination had. */
     private void leave() {
-        List<Relay.Endpoint> left = directory.leave(System.nanoTime()).stream().map(gone -> new Relay.Endpoint(
-                gone.number(), gone.destination(), 0, 0, false, gone.rate(), true)).toList();
+        List<Relay.Endpoint> left = directory.leave(System.nanoTime()).stream().map(Sender::goneEndpoint).toList();
         event(() -> relay.endpoints(openTurn(), false, left));
     }
 
+    private static Relay.Endpoint goneEndpoint(Directory.Listed gone) {
+        return new Relay.Endpoint(gone.number(), gone.destination(), 0, 0, false, gone.rate(), true);
+    }
+
     /** Later than the module does, lest it name one that is no longer known here. */
     private void forgetGone() {
         for (Directory.Listed gone : directory.forget(System.nanoTime(), TimeUnit.MILLISECONDS.toNanos(GONE_MS))) {
             endpoints.forget(gone.number());
-            remember(gone.id(), new Journal.Health(Relay.State.UP, 0, 0));
+            if (directory.known(gone.id()).isEmpty()) {
+                remember(gone.id(), new Journal.Health(Relay.State.UP, 0, 0));
+            }
         }
     }
 
--- a/src/test/java/kestreldeal/net/DirectoryTest.java
+++ b/src/test/java/kestreldeal/net/DirectoryTest.java
@@ -36,6 +36,23 @@
         assertFalse(directory.knowsDestination(early == 0 ? 1 : 0));
     }
 
+    /** One that is listed anew for another destination is another endpoint to all that go by numbers. */
+    @Test
+    void anotherDestinationHasAnotherNumber() {
+        long before = name("a", 7, 1, false, 0);
+        Discovery.Entry same = new Discovery.Entry("a", Optional.empty(), "a", "m", 7, true, 1, false);
+        assertEquals(Optional.empty(), directory.displaced(same, 1));
+        Discovery.Entry gone = new Discovery.Entry("a", Optional.empty(), "a", "m", 8, false, 1, true);
+        assertEquals(Optional.empty(), directory.displaced(gone, 1));
+        Discovery.Entry other = new Discovery.Entry("a", Optional.empty(), "a", "m", 8, true, 1, false);
+        assertEquals(before, directory.displaced(other, 1).orElseThrow().number());
+        long after = name("a", 8, 1, false, 1);
+        assertTrue(after != before);
+        assertEquals("a", directory.id(before));
+        directory.forget(MINUTE + 2, MINUTE);
+        assertEquals(OptionalLong.of(after), directory.known("a"), "the old one is forgotten, not the new one");
+    }
+
     /** Those that a whole list does not name; once, and with their destination's newest rate. */
     @Test
     void whatAWholeListDoesNotNameHasLeft() {
