Guard every attempt and write in one place, count broken invariants, trace messages by id

SendGuard refuses an attempt that would break a rule whatever the module decided (own destination, single effect, number of attempts) and holds back what may not be written any more; Invariants counts breaches, also of ends that come twice or too late, of requests left unanswered and of held messages not taken up. The operators' figures tell reasons of refusals, of calls held back and of connections closed. GW_TRACE names a file for one line a step of each message.

--- a/src/main/java/kestreldeal/net/Directory.java
+++ b/src/main/java/kestreldeal/net/Directory.java
@@ -94,6 +94,12 @@
         return known == null ? OptionalLong.empty() : OptionalLong.of(known.number);
     }
 
+    /** The destination of an endpoint that a list has named. */
+    OptionalLong destination(long number) {
+        Destination destination = byNumber.get(number).destination;
+        return destination == null ? OptionalLong.empty() : OptionalLong.of(destination.number);
+    }
+
     String id(long number) {
         return byNumber.get(number).id;
     }
--- a/src/main/java/kestreldeal/net/Figures.java
+++ b/src/main/java/kestreldeal/net/Figures.java
@@ -1,9 +1,11 @@
 package kestreldeal.net;
 
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.ToLongFunction;
 
 /** What this process has done since it started, and how it is told to the operators' collector. */
 final class Figures {
@@ -17,10 +19,18 @@
         FAILED
     }
 
+    /** Why a message was refused when it was handed in. */
+    enum Refusal {
+        NOT_READY, NO_ROOM, TOO_LITTLE_TIME, JOURNAL, UNKNOWN_DESTINATION
+    }
+
     private static final String PREFIX = "edge_gw_";
 
     private final List<String> classes;
     private final Map<End, Map<String, Long>> ends = new LinkedHashMap<>();
+    private final Map<Refusal, Long> refusals = new EnumMap<>(Refusal.class);
+    private final Map<SendGuard.HeldBack, Long> heldBack = new EnumMap<>(SendGuard.HeldBack.class);
+    private final Map<Intake.CloseReason, Long> closes = new EnumMap<>(Intake.CloseReason.class);
     private long written;
 
     Figures(List<String> classes) {
@@ -37,13 +47,29 @@
         }
     }
 
+    /** A message was refused when it was handed in. */
+    void refused(Refusal reason) {
+        refusals.merge(reason, 1L, Long::sum);
+    }
+
+    /** A call was not written after all. */
+    void heldBack(SendGuard.HeldBack reason) {
+        heldBack.merge(reason, 1L, Long::sum);
+    }
+
+    /** A client's connection was ended by this process. */
+    void closed(Intake.CloseReason reason) {
+        closes.merge(reason, 1L, Long::sum);
+    }
+
     /** So many messages were written whole to an endpoint. */
     void written(int messages) {
         written += messages;
     }
 
     /** All figures in Prometheus' text form, with what the sender holds, its list and its journal as they are now. */
-    String text(int pending, int members, int avoided, long journalFailures, boolean journalBehind) {
+    String text(int pending, int members, int avoided, long journalFailures, boolean journalBehind,
+            Invariants invariants) {
         StringBuilder text = new StringBuilder();
         ends.forEach((end, counts) -> {
             for (String c : classes) {
@@ -56,9 +82,19 @@
         line(text, "members_unavailable", avoided);
         line(text, "journal_write_failures_total", journalFailures);
         line(text, "journal_behind", journalBehind ? 1 : 0);
+        lines(text, "refusals_total", Figures.Refusal.values(), r -> refusals.getOrDefault(r, 0L));
+        lines(text, "calls_held_back_total", SendGuard.HeldBack.values(), r -> heldBack.getOrDefault(r, 0L));
+        lines(text, "client_closes_total", Intake.CloseReason.values(), r -> closes.getOrDefault(r, 0L));
+        lines(text, "invariant_breaches_total", Invariants.Rule.values(), invariants::breaches);
         return text.toString();
     }
 
+    private static <R extends Enum<R>> void lines(StringBuilder text, String name, R[] reasons, ToLongFunction<R> count) {
+        for (R reason : reasons) {
+            line(text, name + "{reason=\"" + reason.name().toLowerCase(Locale.ROOT) + "\"}", count.applyAsLong(reason));
+        }
+    }
+
     private static void line(StringBuilder text, String name, long value) {
         text.append(PREFIX).append(name).append(' ').append(value).append('\n');
     }
--- a/src/main/java/kestreldeal/net/Held.java
+++ b/src/main/java/kestreldeal/net/Held.java
@@ -39,6 +39,8 @@
     long bytes;
     /** Its client has heard that it was taken; what comes back from the journal counts as heard. */
     boolean told;
+    /** It was seen to be without an end when its time was up. */
+    boolean overdue;
     /** Nothing may be sent for it any more: delivered, over, or ended by a notice. */
     boolean over;
 
@@ -77,6 +79,13 @@
             return sentAgo(endpoint, ANY_AGE_MS, clock);
         }
 
+        /** One that was decided and not made. */
+        static Attempt neverMade(String endpoint, MachineClock clock) {
+            Attempt attempt = sentAgo(endpoint, 0, clock);
+            attempt.neverRan = true;
+            return attempt;
+        }
+
         double ageMs(MachineClock clock) {
             return (clock.nanos() - sentNanos) / 1e6;
         }
@@ -122,6 +131,11 @@
         return new Held(number, id, messageClass, tenant, key, destination, after(leftMs, clock), body);
     }
 
+    /** Whether any attempt may have run. */
+    boolean mayHaveRun() {
+        return attempts.stream().anyMatch(a -> !a.neverRan);
+    }
+
     /** How long it may still be tried. */
     double leftMs(MachineClock clock) {
         return (deadlineNanos - clock.nanos()) / 1e6;
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -122,6 +122,14 @@
         /** Journals a message, or refuses it by an empty answer. */
         Optional<Held> take(Submission submission);
 
+        /** A connection is ended here, for this reason. */
+        default void closes(CloseReason reason) {
+        }
+
+        /** A connection is ended here though a request on it was read and has no answer. */
+        default void leavesUnanswered(CloseReason reason) {
+        }
+
         /** A message of this class is refused before it was taken. */
         default void turnedAway(String messageClass) {
         }
@@ -308,6 +316,24 @@
         });
     }
 
+    /** Why this process ends a client's connection. */
+    enum CloseReason {
+        /** Another client needs its place. */
+        MAKES_ROOM,
+        /** Nothing came on it. */
+        SILENT,
+        /** A request did not come whole in time. */
+        REQUEST_TIMEOUT,
+        /** Nothing was asked on it for long. */
+        IDLE,
+        /** Its last request is answered. */
+        LAST_ANSWER,
+        /** This process ends. */
+        SHUTDOWN,
+        /** The client did not end it in the time for that. */
+        LINGERED
+    }
+
     /** What a connection is at, in the order in which they make room for others. */
     private enum State {
         /** The last answer is on its way, or there is none; what still comes is thrown away. */
@@ -456,6 +482,7 @@
 
         /** Gone at once: of a crowd that connects in one turn each must find another to take the place of. */
         private void makeRoom() {
+            closes(CloseReason.MAKES_ROOM);
             clients.get(state).remove(this);
             if (state == State.SILENT && begun) {
                 channel.writeAndFlush(answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many clients"));
@@ -486,18 +513,29 @@
 
         private void outOfTime() {
             if (state == State.ENDING || state == State.SILENT && !begun) {
+                closes(state == State.ENDING ? CloseReason.LINGERED : CloseReason.SILENT);
                 channel.close();
             } else if (begun) {
+                closes(CloseReason.REQUEST_TIMEOUT);
                 last(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time");
             } else {
+                closes(CloseReason.IDLE);
                 halfClose();
             }
         }
 
+        private void closes(CloseReason reason) {
+            desk.closes(reason);
+            if (unanswered > 0 && state != State.ENDING) {
+                desk.leavesUnanswered(reason);
+            }
+        }
+
         private void letGo() {
             if (state == State.ENDING) {
                 return;
             }
+            desk.closes(CloseReason.SHUTDOWN);
             if (begun || unanswered > 0) {
                 last(HttpResponseStatus.SERVICE_UNAVAILABLE, "the sender ends");
             } else {
@@ -620,8 +658,11 @@
 
         private ChannelFuture end(FullHttpRequest request, HttpResponseStatus status, String text) {
             FullHttpResponse answer = answer(status, request.method().equals(HttpMethod.HEAD) ? "" : text);
-            return !closing && !away && !leaving && HttpUtil.isKeepAlive(request) ? channel.writeAndFlush(answer)
-                    : endWith(answer);
+            if (!closing && !away && !leaving && HttpUtil.isKeepAlive(request)) {
+                return channel.writeAndFlush(answer);
+            }
+            desk.closes(CloseReason.LAST_ANSWER);
+            return endWith(answer);
         }
 
         /** The other process has answered, unless the client was told before that it took too long. */
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.FileChannel;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,8 +38,9 @@
     private static final long DRAIN_POLL_MS = 20;
     /** After that, so long for clients to see that their connections end, and to close them. */
     private static final long PARTING_MS = 200;
-    /** A keyed repeat is written so long before its window ends: it still has to arrive. */
-    private static final double WRITTEN_MARGIN_MS = 150;
+    /** Between looks for messages that have no end though their time is up, and so long after it they are told. */
+    private static final long OVERDUE_LOOK_MS = 1000;
+    private static final double OVERDUE_AFTER_MS = 1000;
     /** An endpoint that has left the list is forgotten after so long: no call lasts till then. */
     private static final long GONE_MS = 60_000;
 
@@ -78,6 +80,9 @@
     private Intake intake;
     private Ops ops;
     private final Figures figures;
+    private final Invariants invariants = new Invariants();
+    private final SendGuard guard;
+    private Trace trace = Trace.OFF;
     private Listener clientListener;
     /** Where operators connect, if anywhere. */
     private Optional<Listener> operatorListener = Optional.empty();
@@ -115,6 +120,7 @@
         this.closingMs = closingMs;
         this.relay = Relay.create(config.settings(), config.seed(), this);
         this.figures = new Figures(config.classes());
+        this.guard = new SendGuard(config.settings(), config.classes());
     }
 
     /**
@@ -124,6 +130,7 @@
     public static int serve(Map<String, String> env, boolean links) {
         try {
             Sender sender = new Sender(Config.read(env), links, TAKING_MS, CLOSING_MS);
+            sender.trace = Trace.of(env);
             Hangup.handle(() -> sender.reload(env));
             Runtime.getRuntime().addShutdownHook(new Thread(sender::drain, "drain"));
             sender.launch();
@@ -182,6 +189,18 @@
         succession.start();
         discovery.start(config.file());
         operatorListener.ifPresent(Listener::start);
+        loop.scheduleWithFixedDelay(this::lookForOverdue, OVERDUE_LOOK_MS, OVERDUE_LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** What was taken on ends before its time is up; one that has not by now would never be answered in time. */
+    private void lookForOverdue() {
+        for (Held held : open.values()) {
+            if (held.told && !held.overdue && held.leftMs(machine) < -OVERDUE_AFTER_MS) {
+                held.overdue = true;
+                invariants.breached(Invariants.Rule.END_IN_TIME, held.id, held.attempts.size() + " attempts, "
+                        + (long) -held.leftMs(machine) + " ms late");
+            }
+        }
     }
 
     /**
@@ -225,6 +244,7 @@
      */
     private void replay() {
         int resumed = 0;
+        Collection<Held> all = journal.held();
         legacy.ifPresent(this::recall);
         Map<Out, Long> outBefore = new HashMap<>();
         legacy.filter(l -> succession.hasPredecessor()).ifPresent(l ->
@@ -235,9 +255,10 @@
             double since = now - health.ageMs(machine);
             relay.recalled(now, endpointNumber(id), new Relay.Health(health.state(), since, health.carriedPerMs()));
         });
-        for (Held held : journal.held()) {
+        for (Held held : all) {
             int messageClass = config.classes().indexOf(held.messageClass);
             if (held.over) {
+                trace.step("owed", held.id);
                 notices.owe(held);
                 continue;
             }
@@ -260,8 +281,11 @@
             byId.put(held.id, held);
             held.told = true;
             resumed++;
+            trace.step("resumed", held.id, (long) held.leftMs(machine), held.attempts.size());
             relay.resumed(now, message(held, messageClass, held.leftMs(machine)), earlier);
         }
+        all.stream().filter(held -> !held.over && !open.containsKey(held.number)).forEach(held ->
+                invariants.breached(Invariants.Rule.HELD_TAKEN_UP, held.id, "it is not tried again"));
         Log.line(config.name() + " is ready, with " + resumed + " messages from its journal");
     }
 
@@ -325,6 +349,13 @@
     public void send(long message, long endpoint, double timeoutMs) {
         Held held = open.get(message);
         int number = held.attempts.size();
+        Optional<Invariants.Rule> breach = guard.breach(held, directory.destination(endpoint).orElse(-1));
+        if (breach.isPresent()) {
+            invariants.breached(breach.get(), held.id, "an attempt at " + directory.id(endpoint) + " is not made");
+            held.attempts.add(Held.Attempt.neverMade(directory.id(endpoint), machine));
+            loop.execute(() -> attemptEnded(held, number, Relay.Outcome.NOT_SENT, false, 0, Relay.Report.NONE, 0));
+            return;
+        }
         Held.Attempt attempt = Held.Attempt.sentAgo(directory.id(endpoint), 0, machine);
         try {
             journal.attempt(held, attempt);
@@ -333,6 +364,7 @@
             loop.execute(() -> attemptEnded(held, number, Relay.Outcome.NOT_SENT, false, 0, Relay.Report.NONE, 0));
             return;
         }
+        trace.step("attempt", held.id, number, attempt.endpoint);
         calls.put(new Out(message, number),
                 endpoints.call(held, number, endpoint, timeoutMs, startNanos + (long) (clock * 1e6)));
     }
@@ -388,6 +420,11 @@
     }
 
     private void end(Held held, Held.Notice notice) {
+        if (held.over) {
+            invariants.breached(Invariants.Rule.ONE_END, held.id, "it ends once more, by " + notice);
+            return;
+        }
+        trace.step(notice.bounced() ? "refused" : "failed", held.id, held.attempts.size());
         over(held);
         journal.owed(held, notice);
         notices.owe(held);
@@ -432,13 +469,12 @@
          */
         @Override
         public boolean mayStillGo(Endpoints.Call call) {
-            if (handedOver || call.held.over || !relay.mayStillGo(now(), call.endpoint())) {
-                return false;
-            }
-            Relay.MessageClass type = config.settings().classes()
-                    .get(config.classes().indexOf(call.held.messageClass));
-            return type.effect() != Relay.Effect.KEYED || call.held.isInWindow(call.attempt,
-                    System.nanoTime(), type.windowMs() - WRITTEN_MARGIN_MS);
+            Optional<SendGuard.HeldBack> reason = handedOver ? Optional.of(SendGuard.HeldBack.HANDED_OVER)
+                    : guard.heldBack(call.held, call.attempt, relay.mayStillGo(now(), call.endpoint()),
+                            machine.nanos());
+            reason.ifPresent(figures::heldBack);
+            trace.step(reason.map(r -> "heldback:" + r).orElse("write"), call.held.id, call.attempt);
+            return reason.isEmpty();
         }
     }
 
@@ -449,6 +485,7 @@
 
     private void attemptEnded(Held held, int attempt, Relay.Outcome outcome, boolean gone, double waitMs,
             Relay.Report report, double took) {
+        trace.step("ended", held.id, attempt, outcome, (long) took, (long) waitMs);
         if (!held.over && (gone || outcome == Relay.Outcome.DELIVERED)) {
             over(held);
             if (outcome == Relay.Outcome.DELIVERED) {
@@ -470,6 +507,7 @@
     }
 
     private void heard(Held held) {
+        trace.step("heard", held.id);
         journal.ended(held);
     }
 
@@ -587,7 +625,11 @@
 
         @Override
         public boolean knowsDestination(long destination) {
-            return directory.knowsDestination(destination);
+            boolean known = directory.knowsDestination(destination);
+            if (!known) {
+                figures.refused(Figures.Refusal.UNKNOWN_DESTINATION);
+            }
+            return known;
         }
 
         @Override
@@ -600,6 +642,16 @@
             succession.handOn(submission, answer);
         }
 
+        @Override
+        public void closes(Intake.CloseReason reason) {
+            figures.closed(reason);
+        }
+
+        @Override
+        public void leavesUnanswered(Intake.CloseReason reason) {
+            invariants.breached(Invariants.Rule.REQUEST_ANSWERED, "-", "a request is left by " + reason);
+        }
+
         @Override
         public void turnedAway(String messageClass) {
             figures.ended(messageClass, Figures.End.REJECTED);
@@ -618,31 +670,41 @@
         @Override
         public Optional<Held> take(Intake.Submission s) {
             if (!ready || open.size() >= config.maxOpen()) {
-                return Optional.empty();
+                return refuse(s, ready ? Figures.Refusal.NO_ROOM : Figures.Refusal.NOT_READY);
             }
             double mostMs = config.settings().classes().get(config.classes().indexOf(s.messageClass()))
                     .deadlineMs();
             if (s.budgetMs() < Held.unreadMs(mostMs)) {
                 // Its time may be up already: then no end could come in time, where a refusal does no harm.
-                return Optional.empty();
+                return refuse(s, Figures.Refusal.TOO_LITTLE_TIME);
             }
             Held held = Held.taken(journal.nextNumber(), s, mostMs, machine);
             try {
                 journal.taken(held);
+            } catch (Journal.Full e) {
+                return refuse(s, Figures.Refusal.NO_ROOM);
             } catch (IOException e) {
-                return Optional.empty();
+                return refuse(s, Figures.Refusal.JOURNAL);
             }
             open.put(held.number, held);
             byId.put(held.id, held);
+            trace.step("taken", held.id, held.messageClass, held.destination, s.budgetMs());
             return Optional.of(held);
         }
 
+        private Optional<Held> refuse(Intake.Submission s, Figures.Refusal reason) {
+            figures.refused(reason);
+            trace.step("turnedaway", s.id(), reason);
+            return Optional.empty();
+        }
+
         @Override
         public void answered(Held held, boolean heard) {
             if (held.told || held.over || handedOver) {
                 return;
             }
             held.told = heard;
+            trace.step(heard ? "answered" : "unheard", held.id);
             if (!heard) {
                 // A client that never heard of its being taken is owed nothing, and will come again.
                 over(held);
@@ -666,7 +728,7 @@
             Relay.Standing standing = relay.standing();
             return figures.text(open.size(), standing.listed(), standing.avoided(),
                     Optional.ofNullable(journal).map(Journal::failures).orElse(0L),
-                    Optional.ofNullable(journal).filter(Journal::isBehind).isPresent());
+                    Optional.ofNullable(journal).filter(Journal::isBehind).isPresent(), invariants);
         }
 
         @Override
--- /dev/null
+++ b/src/main/java/kestreldeal/net/Trace.java
@@ -0,0 +1,47 @@
+package kestreldeal.net;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * What happens to each message, a line for each step: the monotonic clock in milliseconds, the step, the message's id and
+ * what belongs to it. For following one message by its id; it is off unless the environment names a file.
+ */
+final class Trace {
+    /** The variable of the environment that names the file; lives of a sender add to it. */
+    static final String FILE = "GW_TRACE";
+    static final Trace OFF = new Trace(Optional.empty());
+
+    private final Optional<PrintWriter> out;
+
+    private Trace(Optional<PrintWriter> out) {
+        this.out = out;
+    }
+
+    /** As the environment has it. */
+    static Trace of(Map<String, String> env) throws IOException {
+        if (!env.containsKey(FILE)) {
+            return OFF;
+        }
+        return new Trace(Optional.of(new PrintWriter(Files.newBufferedWriter(Path.of(env.get(FILE)),
+                StandardCharsets.UTF_8, StandardOpenOption.CREATE, StandardOpenOption.APPEND), true)));
+    }
+
+    /** A step of the message with this id. */
+    void step(String step, String id, Object... details) {
+        out.ifPresent(writer -> {
+            StringBuilder line = new StringBuilder().append(System.nanoTime() / 1_000_000).append(' ').append(step)
+                    .append(' ').append(id);
+            for (Object detail : details) {
+                line.append(' ').append(detail);
+            }
+            writer.println(line);
+        });
+    }
+}
