--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -115,6 +115,10 @@
             file.close();
             throw e;
         }
+        if (base == TimeBase.OTHER_BOOT && !live.isEmpty()) {
+            Log.line("the journal was written before this boot: " + live.size() + " messages have all their time again,"
+                    + " and none that may have run is repeated");
+        }
     }
 
     /** There is no room within the bound of the folder; nothing has failed. */
--- a/src/main/java/kestreldeal/scale/ScaleMain.java
+++ b/src/main/java/kestreldeal/scale/ScaleMain.java
@@ -2,13 +2,14 @@
 
 import java.util.concurrent.Callable;
 import kestreldeal.scale.fleet.FleetCommand;
+import kestreldeal.scale.soak.SoakCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
 /** The command of the scale tests; a sender never loads it. */
 @Command(name = "kestreldeal-scale", mixinStandardHelpOptions = true,
         description = "Measures how what a sender costs grows with what it knows, holds and does.",
-        subcommands = {SlopesCommand.class, FleetCommand.class})
+        subcommands = {SlopesCommand.class, FleetCommand.class, SoakCommand.class})
 public final class ScaleMain implements Callable<Integer> {
     private ScaleMain() {
     }
--- /dev/null
+++ b/src/main/java/kestreldeal/scale/soak/SoakSettings.java
@@ -0,0 +1,45 @@
+package kestreldeal.scale.soak;
+
+import java.nio.file.Path;
+
+/**
+ * One run of the soak test.
+ *
+ * @param senders real processes
+ * @param destinations that messages are for
+ * @param endpointsEach of every destination
+ * @param messagesPerSecond for each sender
+ * @param seconds in which messages are handed in and troubles begin
+ * @param seed of all that is drawn
+ * @param troubles whether anything goes wrong
+ * @param faults whether system calls fail too, which needs a C compiler
+ * @param folder for what the senders need and say
+ */
+record SoakSettings(int senders, int destinations, int endpointsEach, double messagesPerSecond, int seconds, long seed,
+                    boolean troubles, boolean faults, Path folder) {
+    /** Classes of messages, as the senders' settings have them. */
+    enum MessageClass {
+        ORDER("order", 1500, 8000, 3000), PAYMENT("payment", 2000, 7000, 0);
+
+        final String wireName;
+        final int aimMs;
+        final int deadlineMs;
+        /** For so long repeats are dropped; 0 if it must not run twice. */
+        final int windowMs;
+
+        MessageClass(String wireName, int aimMs, int deadlineMs, int windowMs) {
+            this.wireName = wireName;
+            this.aimMs = aimMs;
+            this.deadlineMs = deadlineMs;
+            this.windowMs = windowMs;
+        }
+
+        boolean isUnsafe() {
+            return windowMs == 0;
+        }
+    }
+
+    /** Nothing new goes to an endpoint so long after word that it drains or is gone. */
+    static final int DRAIN_GRACE_MS = 1000;
+    static final int MOST_ATTEMPTS = 12;
+}
