Take evidence of an outage over all endpoints of one limit, and ramp them as one

Cause, by their windows: evidence was kept for each endpoint. With several endpoints, or thirty senders on one, each saw one to four bad ends in the outage, held its endpoint up, and sent at full pace into the cold return; each endpoint of a destination ramped by its own carried rate or an even part, whichever was more, so their sum was over it; and the answer of a hung call ended the outage past the ramp at the next endpoint. Change: OutageEvidence counts bad ends, overdue calls and refusals over all endpoints of a limit. Five bad ends, or three fruitless ones over 2.5 s, or a long told wait, take all of them down. Two signs and no good end for 2.5 s make it suspect: then, and while any is down or warming, their calls share one pace, that of the ramp; the first good end begins the ramp for all. In a new life with held messages the time before counts as unknown.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -388,6 +388,11 @@
         turn++;
     }
 
+    /** Slowest pace of trials of a sender: together they still find out what is back. */
+    private double leastTrialRate() {
+        return 1 / Math.min(TRIAL_LEAST_MS * settings.senders(), TRIAL_MOST * settings.coldStart().warmMs());
+    }
+
     private Destination destination(long id) {
         return destinations.computeIfAbsent(id, unknown -> new Destination());
     }
@@ -871,6 +876,10 @@
         double nextAt = Double.NEGATIVE_INFINITY;
         double waitUntil = Double.NEGATIVE_INFINITY;
         double cutAt = Double.NEGATIVE_INFINITY;
+        final OutageEvidence evidence = new OutageEvidence(clock, SHUT_MS);
+        double returnedAt = Double.NEGATIVE_INFINITY;
+        /** When the next call may go to an endpoint of it that is not in full service. */
+        double coldNextAt = Double.NEGATIVE_INFINITY;
 
         Limit(Destination destination) {
             this.destination = destination;
@@ -890,6 +899,7 @@
 
         /** Many lives may end at one moment, and must not send what they held at another. */
         void resumed() {
+            evidence.resumed();
             if (rate == Double.POSITIVE_INFINITY && evenPart(0) > 0) {
                 rate = evenPart(0);
                 nextAt = clock + random.nextDouble() / rate;
@@ -951,6 +961,48 @@
             destination.demand.recall(known.demand());
         }
 
+        private List<Target> targets() {
+            return destination.targets.stream().filter(t -> t.limit == this).toList();
+        }
+
+        /** An endpoint of it has failed; where none of them has done well for long, an outage takes all. */
+        void failed(String symptom) {
+            evidence.failed(clock);
+            if (evidence.isOutage(clock)) {
+                targets().forEach(t -> t.down(symptom));
+            }
+        }
+
+        /** An endpoint of it has turned a call away; where it is shut, all are. */
+        void turnedAway(double waitMs) {
+            evidence.turnedAway(clock);
+            if (waitMs >= SHUT_MS || evidence.isOutage(clock)) {
+                targets().forEach(Target::shut);
+            }
+        }
+
+        /** One has delivered; if that may end an outage, all that are in service begin as cold ones. */
+        void good(boolean returns) {
+            evidence.good(clock);
+            if (returns) {
+                returnedAt = clock;
+                targets().stream().filter(t -> t.state == State.UP).forEach(Target::warm);
+            }
+        }
+
+        /** Whether it may have been out, and cold ever since. */
+        boolean isReturning() {
+            return clock - returnedAt < settings.coldStart().warmMs();
+        }
+
+        /** Pace of the calls to all its endpoints that are not in full service, of which this one is next. */
+        double coldRate(Target next) {
+            double part = this == destination.shared ? 1 : 1.0 / destination.serving();
+            double asked = destination.demand.perMs() * part * DEMAND_SHARE;
+            double carried = targets().stream().mapToDouble(t -> t.carried.perMs()).sum();
+            return Math.max(leastTrialRate(), next.rampRate(Math.max(carried, Math.max(asked, evenPart(0)))));
+        }
+
         /** This sender's even part of the rate that is known, after so many refusals in a row. */
         double evenPart(int refusals) {
             double told = TOLD_SHARE * toldRate / (1 + refusals);
@@ -1066,6 +1118,9 @@
                 nextAt = state == State.UP ? nextAt : clock + 1 / allowedRate();
             }
             destination.touch();
+            if (!isInFullService()) {
+                limit.coldNextAt = clock + 1 / limit.coldRate(this);
+            }
             latest.items++;
             latest.itemsOut++;
             return latest;
@@ -1096,12 +1151,14 @@
 
         /** Whether pace and health let the next call go. */
         boolean isOpen() {
-            return limit.nextAt <= clock && nextAt <= clock && (state != State.DOWN || calls.isEmpty());
+            return limit.nextAt <= clock && nextAt <= clock && (state != State.DOWN || calls.isEmpty())
+                    && (isInFullService() || limit.coldNextAt <= clock);
         }
 
         /** When its gates open, as far as time alone opens them. */
         double gatesOpenAt() {
-            return Math.max(Math.max(limit.waitUntil, limit.nextAt), nextAt);
+            double opensAt = Math.max(Math.max(limit.waitUntil, limit.nextAt), nextAt);
+            return isInFullService() ? opensAt : Math.max(opensAt, limit.coldNextAt);
         }
 
         /** How long a usual answer may take here. */
@@ -1129,19 +1186,28 @@
 
         /** Pace while down or warming: the rule's budget, shared as the load was shared before. */
         double allowedRate() {
-            ColdStart cold = settings.coldStart();
-            double warm = state == State.DOWN ? 0 : (clock - warmSince) / cold.warmMs();
-            double capacity = cold.startCapacity() + (1 - cold.startCapacity()) * warm;
             double asked = destination.demand.perMs() / destination.serving() * DEMAND_SHARE;
             double part = limit.evenPart(0) / (limit == destination.shared ? destination.serving() : 1);
-            double known = Math.max(carried.perMs(), Math.max(asked, part));
-            double rate = RAMP_SAFETY * cold.overloadMultiple() * capacity * known;
-            double least = 1 / Math.min(TRIAL_LEAST_MS * settings.senders(), TRIAL_MOST * cold.warmMs());
+            double rate = rampRate(Math.max(carried.perMs(), Math.max(asked, part)));
             if (rate == 0) {
                 // Only messages of an earlier life are known here: the pace of trials, until more is seen.
-                return least;
+                return leastTrialRate();
             }
-            return state == State.DOWN ? Math.max(least, Math.min(1 / TRIAL_LEAST_MS, rate)) : rate;
+            return state != State.DOWN ? rate
+                    : Math.max(leastTrialRate(), Math.min(1 / TRIAL_LEAST_MS, rate));
+        }
+
+        /** What the rule allows now of a rate that was known before, less what is left for chance. */
+        double rampRate(double known) {
+            ColdStart cold = settings.coldStart();
+            double warm = state == State.WARMING ? (clock - warmSince) / cold.warmMs() : 0;
+            double capacity = cold.startCapacity() + (1 - cold.startCapacity()) * warm;
+            return RAMP_SAFETY * cold.overloadMultiple() * capacity * known;
+        }
+
+        /** Whether nothing speaks of an outage, there or at another endpoint of its limit. */
+        boolean isInFullService() {
+            return state == State.UP && !limit.evidence.isSuspect(clock);
         }
 
         void observe(Call call, AttemptEnd end) {
@@ -1166,6 +1232,8 @@
         private void good(Call call, AttemptEnd end) {
             // No outage that would leave it cold fits between deliveries so close together.
             boolean blip = !failing && clock - lastGood < SHUT_MS;
+            boolean returns = limit.evidence.isSuspect(clock);
+            limit.good(returns);
             connections.held(call);
             bad *= GOOD_FACTOR;
             silentCalls = 0;
@@ -1176,27 +1244,31 @@
             latency += LATENCY_WEIGHT * (end.tookMs() - latency);
             if (state == State.UP) {
                 carried.count(clock);
+            } else if (state == State.DOWN && limit.isReturning()) {
+                latency = end.tookMs();
+                warm();
             } else if (state == State.DOWN && silentOnly && call.sentAt < downAt && end.tookMs() < SHUT_MS) {
                 up("was slow, not silent");
             } else if (state == State.DOWN && blip) {
                 up("was not out");
             } else if (state == State.DOWN) {
-                state = State.WARMING;
-                warmSince = clock;
                 latency = end.tookMs();
-                nextAt = clock + 1 / allowedRate();
-                actions.log("endpoint " + entry.id() + " answers again, warming");
-                remember();
+                warm();
             }
             limit.delivered(end.report().left());
         }
 
         private void full(Call call, double waitMs) {
             limit.refused(call);
-            if (noneGood() || waitMs >= SHUT_MS) {
-                down("is shut");
-                failing = true;
+            if (noneGood()) {
+                shut();
             }
+            limit.turnedAway(waitMs);
+        }
+
+        private void shut() {
+            down("is shut");
+            failing = true;
         }
 
         private boolean noneGood() {
@@ -1211,10 +1283,12 @@
             if (noneGood() || bad >= DOWN_AT) {
                 down(symptom);
             }
+            limit.failed(symptom);
         }
 
         void overdue(Call call) {
             connections.lost(call);
+            limit.evidence.overdue(call.sentAt);
             if (lastGood < call.sentAt && ++silentCalls >= SILENT_CALLS) {
                 boolean wasDown = state == State.DOWN;
                 down("is silent");
@@ -1222,6 +1296,15 @@
             }
         }
 
+        /** It answers again, and is cold. */
+        private void warm() {
+            state = State.WARMING;
+            warmSince = clock;
+            nextAt = clock + 1 / allowedRate();
+            actions.log("endpoint " + entry.id() + " answers again, warming");
+            remember();
+        }
+
         private void up(String symptom) {
             state = State.UP;
             nextAt = clock;
--- a/src/test/java/kestreldeal/ColdReturnFleetTest.java
+++ b/src/test/java/kestreldeal/ColdReturnFleetTest.java
@@ -80,6 +80,24 @@
         holds(plans);
     }
 
+    /** By the rule as it stands: where N is under 30, N + 3 x root of N + 3. */
+    @Test
+    void soTheyDoInFleetsOfEverySizeAndOnOtherDraws() {
+        List<Plan> plans = new ArrayList<>();
+        for (int senders : new int[] {2, 10, 60, 120}) {
+            for (Outage outage : Outage.values()) {
+                for (long seed = 11; seed <= 12; seed++) {
+                    plans.add(new Plan(senders, 60, 0.8, Rates.LISTED, outage, seed == 12, 1, 3, seed));
+                    plans.add(new Plan(senders, 15, 1, Rates.TOLD, outage, seed == 11, 5, 2, seed));
+                }
+            }
+        }
+        List<String> over = plans.stream().map(plan -> new ColdFleet(plan).run())
+                .map(fleet -> fleet.worst(Worst::overTheRule)).filter(worst -> worst.overTheRule() > 0)
+                .map(Worst::toString).toList();
+        assertEquals(List.of(), over);
+    }
+
     @Test
     void fleetsOfEverySizeStayWithinIt() {
         holds(sizes(1, 2, 30, 100));
--- a/src/test/java/kestreldeal/scale/fleet/FleetTest.java
+++ b/src/test/java/kestreldeal/scale/fleet/FleetTest.java
@@ -4,9 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Small fleets: every scenario holds the rules, with bounds on counts and on their growth by senders. */
 class FleetTest {
@@ -49,6 +51,18 @@
         assertNoneIsOverItsBudget(Scenario.ZONE);
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {2, 10, 60, 120})
+    void soTheyDoInFleetsOfEverySize(int senders) {
+        for (Scenario scenario : List.of(Scenario.DOWN, Scenario.RETURN, Scenario.ZONE)) {
+            for (long seed = 1; seed <= 2; seed++) {
+                Counts c = play(senders, scenario, seed);
+                assertTrue(!c.coldReturns.isEmpty(), scenario + ", seed " + seed);
+                assertEquals(0, c.overBudget(), scenario + ", seed " + seed + ": " + c.figures());
+            }
+        }
+    }
+
     private static void assertNoneIsOverItsBudget(Scenario scenario) {
         Counts c = play(30, scenario, 3);
         assertEquals(0, c.overBudget(), c.figures().toString());
