Cross troubles of the soak with ends and kills, and give senders ports that nobody else gets

Half of the reloads, silences, steps and failing calls are followed by SIGTERM or SIGKILL of the same sender within 1.5 s.

--- a/src/main/java/kestreldeal/scale/soak/Soak.java
+++ b/src/main/java/kestreldeal/scale/soak/Soak.java
@@ -27,7 +27,7 @@
     /** Lateness of the test counts for so long. */
     private static final long LATE_MEMORY_MS = 2000;
     /** Seconds for each trouble of a sender. */
-    private static final double SECONDS_A_TROUBLE = 8;
+    private static final double SECONDS_A_TROUBLE = 6;
 
     private final SoakSettings settings;
     private final List<String> command;
--- a/src/main/java/kestreldeal/scale/soak/SoakSender.java
+++ b/src/main/java/kestreldeal/scale/soak/SoakSender.java
@@ -4,6 +4,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -17,6 +18,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import kestreldeal.scale.soak.SoakSettings.MessageClass;
 
@@ -29,6 +31,9 @@
     /** After SIGHUP what discovery has to tell counts as told so long later. */
     private static final double RELOAD_MS = 4000;
     private static final long CLOCK_TICKS = 100;
+    /** Below those that Linux gives out by itself. */
+    private static final int END_OF_PORTS = 32_000;
+    private static final AtomicInteger NEXT_PORT = new AtomicInteger(20_000 + (int) (ProcessHandle.current().pid() % 8000));
 
     final int number;
     private final SoakSettings settings;
@@ -66,10 +71,16 @@
         this.agent = new AgentStand(loop, roster, ledger);
     }
 
+    /** One that the system gives to nobody by itself: a sender has the same in each life. */
     private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+        for (int port = NEXT_PORT.getAndIncrement(); port < END_OF_PORTS; port = NEXT_PORT.getAndIncrement()) {
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (BindException taken) {
+                continue;
+            }
         }
+        throw new IOException("no port is free below " + END_OF_PORTS);
     }
 
     InetSocketAddress address() {
--- a/src/main/java/kestreldeal/scale/soak/Troubles.java
+++ b/src/main/java/kestreldeal/scale/soak/Troubles.java
@@ -20,6 +20,7 @@
     private static final long MOST_MS = 6000;
     private static final long MOST_DOWN_MS = 2000;
     private static final long MOST_HOLD_UP_MS = 150;
+    private static final int MOST_CROSSING_MS = 1500;
     private static final int CERTAIN = 1_000_000;
     private static final long HOUR_MS = 3_600_000;
 
@@ -27,6 +28,11 @@
         OUTAGE, REPLACED, SILENT_DISCOVERY, ENDED, KILLED, RELOADED, HELD_UP, BAD_CLIENTS, IDLE_CLOSED, WALL_STEPPED,
         SOCKETS_FAIL, FOLDER_FAILS, SLOW_TRANSFERS;
 
+        /** The sender is often ended or killed in the middle of it. */
+        boolean isCrossedByAnEnd() {
+            return this == RELOADED || this == SILENT_DISCOVERY || needsShim();
+        }
+
         boolean needsShim() {
             return ordinal() >= WALL_STEPPED.ordinal();
         }
@@ -87,6 +93,17 @@
         if (kind.needsShim() && sender.shim().isEmpty() || sender.isBusy()) {
             return;
         }
+        play(kind, sender);
+        if (kind.isCrossedByAnEnd() && random.nextBoolean()) {
+            loop.schedule(() -> {
+                if (!sender.isBusy()) {
+                    play(random.nextInt(3) == 0 ? Kind.ENDED : Kind.KILLED, sender);
+                }
+            }, random.nextInt(MOST_CROSSING_MS), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void play(Kind kind, SoakSender sender) {
         begun.merge(kind, 1, Integer::sum);
         switch (kind) {
             case OUTAGE -> outage();
