Count no refusals over the endpoints of a limit: only a long told wait shuts them all

Where many senders come back at once, limits refuse them; three refusals in a row over all endpoints of a limit, in 2.5 s without a delivery, took all of them for shut, and each then ramped for 12 s. Change: OutageEvidence counts failures only; a told wait of 2.5 s and more still shuts all endpoints, three refusals in a row the one that gave them, as before. The reference walk has the same.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -975,8 +975,7 @@
 
         /** An endpoint of it has turned a call away; where it is shut, all are. */
         void turnedAway(double waitMs) {
-            evidence.turnedAway(clock);
-            if (waitMs >= SHUT_MS || evidence.isOutage(clock)) {
+            if (waitMs >= SHUT_MS) {
                 targets().forEach(Target::shut);
             }
         }
--- a/src/main/java/kestreldeal/OutageEvidence.java
+++ b/src/main/java/kestreldeal/OutageEvidence.java
@@ -13,7 +13,7 @@
 
     /** One failure alone is no sign: calls fail now and then. */
     private static final int LEAST_FAILURES = 2;
-    /** Bad ends and refusals in a row, over the least length of an outage, mean one as well. */
+    /** Bad ends in a row, over the least length of an outage, mean one as well. */
     private static final int MOST_FRUITLESS = 3;
 
     private final double leastMs;
@@ -49,11 +49,6 @@
     void failed(double now) {
         failures++;
         score += (1 - score) * BAD_WEIGHT;
-        turnedAway(now);
-    }
-
-    /** A call was turned away, as by a limit, or by what is shut. */
-    void turnedAway(double now) {
         if (fruitless++ == 0) {
             fruitlessSince = now;
         }
--- a/src/test/java/kestreldeal/WalkingLogic.java
+++ b/src/test/java/kestreldeal/WalkingLogic.java
@@ -746,8 +746,7 @@
             }
         }
         void turnedAway(double waitMs) {
-            evidence.turnedAway(clock);
-            if (waitMs >= SHUT_MS || evidence.isOutage(clock)) {
+            if (waitMs >= SHUT_MS) {
                 targets().forEach(Target::shut);
             }
         }
