--- a/src/main/java/kestreldeal/scale/soak/FaultInjector.java
+++ b/src/main/java/kestreldeal/scale/soak/FaultInjector.java
@@ -27,6 +27,9 @@
     private static final int MAX_OVERLAP_DELAY_MS = 1500;
     private static final int ALWAYS_RATE_PER_MILLION = 1_000_000;
     private static final long HOUR_MS = 3_600_000;
+    /** More than the senders' limit on file descriptors. */
+    private static final int CROWD_CONNECTIONS = 600;
+    private static final int MAX_REPEATED_SIGNALS = 4;
 
     /** Kinds of faults. From {@link #WALL_STEPPED} on they need the fault library. */
     private enum FaultKind {
@@ -46,6 +49,8 @@
         HELD_UP,
         /** Clients send invalid requests. */
         BAD_CLIENTS,
+        /** Clients open more connections than the sender has file descriptors for, and leave them idle. */
+        CROWD,
         /** Endpoints close connections. */
         IDLE_CLOSED,
         /** The wall clock is set forward or back. */
@@ -76,6 +81,8 @@
     private final List<SoakClients> clients;
     private final List<StubEndpoint> currentEndpoints;
     private final double[] systemCallsFaultyUntilMs;
+    private final double[] endsLostUntilMs;
+    private final double[] crowdedUntilMs;
     private final Map<FaultKind, Integer> countByKind = new EnumMap<>(FaultKind.class);
     private int replacementCount;
 
@@ -90,6 +97,8 @@
         this.clients = clients;
         this.currentEndpoints = currentEndpoints;
         this.systemCallsFaultyUntilMs = new double[senders.size()];
+        this.endsLostUntilMs = new double[senders.size()];
+        this.crowdedUntilMs = new double[senders.size()];
     }
 
     /** Schedules faults at random times of a run that starts now. */
@@ -108,9 +117,15 @@
         return countByName;
     }
 
-    /** Whether system calls of this sender fail, or did a moment ago. */
-    boolean areSystemCallsFaulty(int senderNumber) {
-        return clock.nowMs() < systemCallsFaultyUntilMs[senderNumber] + MAX_PAUSE_MS;
+    /** Whether connections to this sender may break: its system calls fail, or it is crowded, or was a moment ago. */
+    boolean mayBreakConnections(int senderNumber) {
+        return clock.nowMs() < MAX_PAUSE_MS
+                + Math.max(systemCallsFaultyUntilMs[senderNumber], crowdedUntilMs[senderNumber]);
+    }
+
+    /** Whether its reads from sockets or its writes to the state directory fail, or did a moment ago. */
+    boolean mayLoseEnds(int senderNumber) {
+        return clock.nowMs() < endsLostUntilMs[senderNumber] + MAX_PAUSE_MS;
     }
 
     private long drawDurationMs() {
@@ -143,19 +158,30 @@
             case OUTAGE -> startOutage();
             case REPLACED -> replaceEndpoint();
             case SILENT_DISCOVERY -> sender.stopDiscovery(drawDurationMs());
-            case ENDED -> sender.terminate(random.nextInt((int) MAX_RESTART_DELAY_MS));
+            case ENDED -> {
+                sender.terminate(random.nextInt((int) MAX_RESTART_DELAY_MS));
+                sender.repeatSignals(random.nextInt(MAX_REPEATED_SIGNALS), random);
+            }
             case KILLED -> sender.kill(random.nextInt((int) MAX_RESTART_DELAY_MS));
             case RELOADED -> new Thread(sender::reload, "reload").start();
             case HELD_UP -> sender.suspend(random.nextInt((int) MAX_PAUSE_MS));
             case BAD_CLIENTS -> sendInvalidRequests(clients.get(sender.number));
+            case CROWD -> crowd(sender);
             case IDLE_CLOSED -> currentEndpoints.forEach(StubEndpoint::closeSomeConnections);
             case WALL_STEPPED -> stepWallClock(sender);
-            case SOCKETS_FAIL -> injectSystemCallFaults(sender, drawDurationMs(),
-                    Map.of(Control.ACCEPT_FAILS, 50_000L, Control.CONNECT_FAILS, 200_000L,
-                            Control.SOCKET_FAILS, 50_000L, Control.READ_FAILS, 3000L));
-            case FOLDER_FAILS -> injectSystemCallFaults(sender, MIN_FAULT_MS + random.nextInt(2000),
-                    Map.of(Control.STATE_FAILS,
-                            random.nextBoolean() ? (long) ALWAYS_RATE_PER_MILLION : ALWAYS_RATE_PER_MILLION / 3L));
+            case SOCKETS_FAIL -> {
+                long durationMs = drawDurationMs();
+                markEndsLost(sender, durationMs);
+                injectSystemCallFaults(sender, durationMs,
+                        Map.of(Control.ACCEPT_FAILS, 50_000L, Control.CONNECT_FAILS, 200_000L,
+                                Control.SOCKET_FAILS, 50_000L, Control.READ_FAILS, 3000L));
+            }
+            case FOLDER_FAILS -> {
+                long durationMs = MIN_FAULT_MS + random.nextInt(2000);
+                markEndsLost(sender, durationMs);
+                injectSystemCallFaults(sender, durationMs, Map.of(Control.STATE_FAILS,
+                        random.nextBoolean() ? (long) ALWAYS_RATE_PER_MILLION : ALWAYS_RATE_PER_MILLION / 3L));
+            }
             case SLOW_TRANSFERS -> injectSystemCallFaults(sender, drawDurationMs(),
                     Map.of(Control.SHORT_TRANSFERS, 200_000L, Control.INTERRUPTED_WAITS, 50_000L,
                             Control.HOLD_UPS, 10_000L, Control.HOLD_UP_MOST_MS, MAX_PAUSE_MS));
@@ -163,6 +189,16 @@
         }
     }
 
+    private void markEndsLost(SoakSender sender, long durationMs) {
+        endsLostUntilMs[sender.number] = Math.max(endsLostUntilMs[sender.number], clock.nowMs() + durationMs);
+    }
+
+    private void crowd(SoakSender sender) {
+        long durationMs = drawDurationMs();
+        crowdedUntilMs[sender.number] = Math.max(crowdedUntilMs[sender.number], clock.nowMs() + durationMs);
+        clients.get(sender.number).openIdleConnections(CROWD_CONNECTIONS, durationMs);
+    }
+
     /** Puts all endpoints of a destination, or one of them, into a random state of failure for some time. */
     private void startOutage() {
         StubEndpoint chosen = currentEndpoints.get(random.nextInt(currentEndpoints.size()));
@@ -179,7 +215,7 @@
     private void replaceEndpoint() {
         StubEndpoint oldEndpoint = currentEndpoints.get(random.nextInt(currentEndpoints.size()));
         StubEndpoint newEndpoint = new StubEndpoint("r-" + replacementCount++, oldEndpoint.destination, eventLoop,
-                ledger, new Random(random.nextLong()));
+                ledger, clock, new Random(random.nextLong()));
         long drainMs = 2 * SoakSettings.DRAIN_GRACE_MS + random.nextInt(2000);
         Thread thread = new Thread(() -> {
             newEndpoint.open();
--- a/src/main/java/kestreldeal/scale/soak/Ledger.java
+++ b/src/main/java/kestreldeal/scale/soak/Ledger.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import kestreldeal.scale.soak.SoakSettings.MessageClass;
 
 /**
@@ -22,6 +23,15 @@
      * injected fault may delay the sender at a write.
      */
     private static final double RETRY_AFTER_GRACE_MS = 100 + 150;
+    /**
+     * Calls and notices received this soon after the response that ends their message are allowed: they may have been
+     * on their way, and an injected fault may have delayed the sender at the write.
+     */
+    private static final double END_CROSSING_MS = 100 + 150;
+    /** A process that exits this soon after a response was sent to it may not have read and recorded the response. */
+    private static final double UNREAD_BEFORE_EXIT_MS = 500;
+    /** A scheduling delay of the test from which a response may be sent on a connection that the sender has closed. */
+    private static final double MAX_DELAY_FOR_CLOSE_MS = 50;
     /** Time that a restarted sender has, once it is ready, for results that fell due while it was not in service. */
     private static final double RESTART_GRACE_MS = 1500;
 
@@ -37,6 +47,10 @@
         SENT_AFTER_DRAIN,
         /** A call was sent to a destination during a Retry-After wait. */
         SENT_IN_A_WAIT,
+        /** A call was sent for a message after the response that ended it. */
+        SENT_AFTER_END,
+        /** A message was reported as rejected or failed after the response that ended it. */
+        REPORTED_AFTER_END,
         WRONG_DESTINATION,
         /** A call or a notice is for a message that no client submitted. */
         UNKNOWN_MESSAGE,
@@ -68,6 +82,10 @@
         final double budgetMs;
         boolean isAccepted;
         boolean isDelivered;
+        /** When the first response that it is delivered was sent. */
+        double deliveredAtMs = Double.POSITIVE_INFINITY;
+        /** Whether a fault may keep the sender from reading, or from recording, that response. */
+        boolean endMayBeLost;
         /** Whether the agent received the notice of its final result. */
         boolean isNoticed;
         /** Whether its result was checked, so that no breach for it can be found any more. */
@@ -88,7 +106,9 @@
     /** Whether a sender is in service, and when it last became ready. */
     private static final class SenderStatus {
         double readySinceMs;
+        double exitedAtMs = Double.NEGATIVE_INFINITY;
         boolean isInService;
+        BooleanSupplier mayLoseEnds = () -> false;
     }
 
     private final Clock clock;
@@ -141,6 +161,12 @@
     /** The process of a sender has exited. Its Retry-After waits end, since the next process doesn't know them. */
     void senderExited(int senderNumber) {
         retryAfterWaits.keySet().removeIf(key -> key >> 32 == senderNumber);
+        senderStatuses[senderNumber].exitedAtMs = clock.nowMs();
+    }
+
+    /** Sets the check for whether a fault keeps the sender from reading responses, or from recording them. */
+    void setMayLoseEnds(int senderNumber, BooleanSupplier mayLoseEnds) {
+        senderStatuses[senderNumber].mayLoseEnds = mayLoseEnds;
     }
 
     void senderReady(int senderNumber) {
@@ -188,6 +214,9 @@
             recordBreach(Rule.SENT_AFTER_DRAIN, message.senderNumber, message.id,
                     (long) (nowMs - drainingSinceMs) + " ms after the notification");
         }
+        if (isPastEnd(message)) {
+            recordBreach(Rule.SENT_AFTER_END, message.senderNumber, message.id, pastEndDetail(message));
+        }
         double[] wait = retryAfterWaits.get(senderDestinationKey(message.senderNumber, destination));
         if (wait != null && nowMs > wait[0] + RETRY_AFTER_GRACE_MS + slackMs() && nowMs < wait[1]) {
             recordBreach(Rule.SENT_IN_A_WAIT, message.senderNumber, message.id,
@@ -211,10 +240,29 @@
         }
     }
 
-    /** An endpoint has sent the response that the message is delivered. */
+    /** An endpoint has sent the response that the message is delivered, whole as far as it concerns the message. */
     void messageDelivered(Message message) {
-        deliveredCount += message.isDelivered ? 0 : 1;
+        if (message.isDelivered) {
+            return;
+        }
+        deliveredCount++;
         message.isDelivered = true;
+        message.deliveredAtMs = clock.nowMs();
+        message.endMayBeLost = senderStatuses[message.senderNumber].mayLoseEnds.getAsBoolean()
+                || clock.schedulingDelayMs() > MAX_DELAY_FOR_CLOSE_MS;
+    }
+
+    /** Whether the sender must know by now that the message was delivered. */
+    private boolean isPastEnd(Message message) {
+        double exitedAtMs = senderStatuses[message.senderNumber].exitedAtMs;
+        boolean exitedBeforeReading = exitedAtMs >= message.deliveredAtMs
+                && exitedAtMs < message.deliveredAtMs + UNREAD_BEFORE_EXIT_MS;
+        return clock.nowMs() > message.deliveredAtMs + END_CROSSING_MS + slackMs() && !message.endMayBeLost
+                && !exitedBeforeReading;
+    }
+
+    private String pastEndDetail(Message message) {
+        return (long) (clock.nowMs() - message.deliveredAtMs) + " ms after the response that it is delivered";
     }
 
     /** The agent has received the notice of the final result of a message. */
@@ -224,6 +272,9 @@
             recordBreach(Rule.UNKNOWN_MESSAGE, -1, id, "a notice of its result");
             return;
         }
+        if (!message.isNoticed && isPastEnd(message)) {
+            recordBreach(Rule.REPORTED_AFTER_END, message.senderNumber, id, pastEndDetail(message));
+        }
         noticedCount += message.isNoticed ? 0 : 1;
         message.isNoticed = true;
     }
--- a/src/main/java/kestreldeal/scale/soak/SoakClients.java
+++ b/src/main/java/kestreldeal/scale/soak/SoakClients.java
@@ -44,7 +44,12 @@
     private static final int INVALID_REQUEST_SLACK_MS = 250;
     /** Share of the messages with a deadline of at most the response timeout. */
     private static final double SHORT_DEADLINE_SHARE = 0.02;
+    /** Share of the messages with any longer deadline up to that of their class. */
+    private static final double VARIED_DEADLINE_SHARE = 0.3;
     private static final double PAYMENT_SHARE = 0.35;
+    /** Share of the times at which several messages are submitted at once for one destination, and their number. */
+    private static final double BURST_SHARE = 0.15;
+    private static final int BURST_SIZE = 4;
 
     private final int senderNumber;
     private final InetSocketAddress senderAddress;
@@ -88,8 +93,12 @@
         }
         long waitMicros = (long) (-Math.log(1 - random.nextDouble()) / messagesPerSecond * 1e6);
         eventLoop.schedule(() -> {
-            submit(random.nextDouble() < PAYMENT_SHARE ? MessageClass.PAYMENT : MessageClass.ORDER,
-                    Long.toHexString(random.nextLong()), random.nextInt(destinationCount), 1);
+            int destination = random.nextInt(destinationCount);
+            int count = random.nextDouble() < BURST_SHARE ? BURST_SIZE : 1;
+            for (int i = 0; i < count; i++) {
+                submit(random.nextDouble() < PAYMENT_SHARE ? MessageClass.PAYMENT : MessageClass.ORDER,
+                        Long.toHexString(random.nextLong()), destination, 1);
+            }
             start(messagesPerSecond);
         }, waitMicros, TimeUnit.MICROSECONDS);
     }
@@ -101,8 +110,7 @@
 
     /** Submits a message under a new id; if it is rejected, it is submitted again until no tries are left. */
     private void submit(MessageClass messageClass, String key, int destination, int triesLeft) {
-        double budgetMs = random.nextDouble() < SHORT_DEADLINE_SHARE ? 1 + random.nextInt(RESPONSE_TIMEOUT_MS)
-                : messageClass.deadlineMs;
+        double budgetMs = drawBudgetMs(messageClass);
         String id = String.format("%02x-%x-%08x", senderNumber, nextMessageNumber++, random.nextInt());
         Submission submission = new Submission(id, key, messageClass, destination, budgetMs, triesLeft);
         Connection connection = idleConnections.pollLast();
@@ -113,6 +121,28 @@
         }
     }
 
+    private double drawBudgetMs(MessageClass messageClass) {
+        double draw = random.nextDouble();
+        if (draw < SHORT_DEADLINE_SHARE) {
+            return 1 + random.nextInt(RESPONSE_TIMEOUT_MS);
+        }
+        return draw >= SHORT_DEADLINE_SHARE + VARIED_DEADLINE_SHARE ? messageClass.deadlineMs
+                : RESPONSE_TIMEOUT_MS + random.nextInt(messageClass.deadlineMs - RESPONSE_TIMEOUT_MS);
+    }
+
+    /** Opens connections and closes them after some time, without sending anything. */
+    void openIdleConnections(int count, long durationMs) {
+        for (int i = 0; i < count; i++) {
+            new Bootstrap().group(eventLoop).channel(NioSocketChannel.class)
+                    .handler(new ChannelInboundHandlerAdapter()).connect(senderAddress).addListener(connected -> {
+                        if (connected.isSuccess()) {
+                            eventLoop.schedule(() -> ((ChannelFuture) connected).channel().close(), durationMs,
+                                    TimeUnit.MILLISECONDS);
+                        }
+                    });
+        }
+    }
+
     private void connect(Submission submission) {
         new Bootstrap().group(eventLoop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, RESPONSE_TIMEOUT_MS)
--- a/src/main/java/kestreldeal/scale/soak/SoakRun.java
+++ b/src/main/java/kestreldeal/scale/soak/SoakRun.java
@@ -113,7 +113,7 @@
     private void prepare(Optional<Path> faultLibrary) throws IOException {
         for (int i = 0; i < settings.destinationCount() * settings.endpointsPerDestination(); i++) {
             StubEndpoint endpoint = new StubEndpoint("s-" + i, i % settings.destinationCount(), eventLoop, ledger,
-                    new Random(random.nextLong()));
+                    this, new Random(random.nextLong()));
             endpoint.open();
             currentEndpoints.add(endpoint);
             endpointList.put(endpoint.id, endpoint.hostPort(), endpoint.destination, "SERVING");
@@ -130,7 +130,8 @@
                 senders, clients, currentEndpoints);
         for (int i = 0; i < settings.senderCount(); i++) {
             int senderNumber = i;
-            clients.get(i).setSocketsFaulty(() -> faultInjector.areSystemCallsFaulty(senderNumber));
+            clients.get(i).setSocketsFaulty(() -> faultInjector.mayBreakConnections(senderNumber));
+            ledger.setMayLoseEnds(i, () -> faultInjector.mayLoseEnds(senderNumber));
         }
     }
 
--- a/src/main/java/kestreldeal/scale/soak/SoakSender.java
+++ b/src/main/java/kestreldeal/scale/soak/SoakSender.java
@@ -17,6 +17,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
@@ -224,6 +225,19 @@
         });
     }
 
+    /** Sends further signals, SIGTERM or SIGHUP, at random times while the process terminates. */
+    void repeatSignals(int count, Random random) {
+        Process terminated = process;
+        for (int i = 0; i < count; i++) {
+            String signalName = random.nextBoolean() ? "TERM" : "HUP";
+            eventLoop.schedule(() -> {
+                if (terminated.isAlive()) {
+                    sendSignal(terminated, signalName);
+                }
+            }, random.nextInt((int) KILL_DELAY_MS), TimeUnit.MILLISECONDS);
+        }
+    }
+
     private interface IoTask {
         void run() throws IOException;
     }
@@ -293,8 +307,12 @@
     }
 
     private void sendSignal(String signalName) {
+        sendSignal(process, signalName);
+    }
+
+    private void sendSignal(Process target, String signalName) {
         try {
-            new ProcessBuilder("kill", "-" + signalName, Long.toString(process.pid())).start();
+            new ProcessBuilder("kill", "-" + signalName, Long.toString(target.pid())).start();
         } catch (IOException e) {
             ledger.recordBreach(Ledger.Rule.SENDER_ENDED, number, "-",
                     "the process can't be sent a signal: " + e.getMessage());
--- a/src/main/java/kestreldeal/scale/soak/StubEndpoint.java
+++ b/src/main/java/kestreldeal/scale/soak/StubEndpoint.java
@@ -8,11 +8,11 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntToDoubleFunction;
 
@@ -20,6 +20,17 @@
 final class StubEndpoint {
     private static final int MIN_PROCESSING_MS = 20;
     private static final int PROCESSING_RANGE_MS = 150;
+    /** Share of the calls that take longer, and how much longer; all calls do in state {@link State#SLOW}. */
+    private static final double SLOW_SHARE = 0.08;
+    private static final int MIN_SLOW_PROCESSING_MS = 300;
+    private static final int SLOW_PROCESSING_RANGE_MS = 2500;
+    /** Share of the responses that are sent in pieces, and the longest time between two pieces. */
+    private static final double PIECEWISE_SHARE = 0.2;
+    private static final int MAX_PIECE_DELAY_MS = 40;
+    /** Share of the responses to batches that lack a line or have a malformed one. */
+    private static final double MALFORMED_SHARE = 0.03;
+    /** A sender may not read a response if its connection is reset this soon after. */
+    private static final double UNREAD_BEFORE_RESET_MS = 200;
     /** Share of the rejected calls whose response has Retry-After. */
     private static final double RETRY_AFTER_SHARE = 0.7;
     private static final int MIN_RETRY_AFTER_MS = 200;
@@ -30,6 +41,8 @@
     /** How the endpoint handles calls. */
     enum State {
         SERVING,
+        /** It responds late. */
+        SLOW,
         /** It does not listen, so connections are refused. */
         REFUSING,
         /** It never responds; some messages are processed. */
@@ -46,8 +59,9 @@
     final int destination;
     private final EventLoop eventLoop;
     private final Ledger ledger;
+    private final Ledger.Clock clock;
     private final Random random;
-    private final Set<Channel> connections = new LinkedHashSet<>();
+    private final Map<Channel, RequestHandler> connections = new LinkedHashMap<>();
     /** By sender number: when that sender was notified that this endpoint drains; infinite if it does not drain. */
     private IntToDoubleFunction drainingSinceMs = senderNumber -> Double.POSITIVE_INFINITY;
     private Channel serverChannel;
@@ -55,11 +69,12 @@
     private State state = State.SERVING;
     private long acceptedConnectionCount;
 
-    StubEndpoint(String id, int destination, EventLoop eventLoop, Ledger ledger, Random random) {
+    StubEndpoint(String id, int destination, EventLoop eventLoop, Ledger ledger, Ledger.Clock clock, Random random) {
         this.id = id;
         this.destination = destination;
         this.eventLoop = eventLoop;
         this.ledger = ledger;
+        this.clock = clock;
         this.random = random;
     }
 
@@ -84,7 +99,7 @@
         }
         if (newState == State.REFUSING && state != State.REFUSING) {
             serverChannel.close();
-            List.copyOf(connections).forEach(StubHttpServer::reset);
+            List.copyOf(connections.values()).forEach(RequestHandler::reset);
         }
         state = newState;
     }
@@ -96,14 +111,37 @@
 
     /** Closes half of the connections, chosen at random. */
     void closeSomeConnections() {
-        List.copyOf(connections).stream().filter(channel -> random.nextBoolean()).forEach(Channel::close);
+        List.copyOf(connections.values()).stream().filter(handler -> random.nextBoolean())
+                .forEach(RequestHandler::close);
     }
 
     private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private Channel connection;
+        private List<Ledger.Message> lastDelivered = List.of();
+        private double lastDeliveredAtMs;
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             acceptedConnectionCount++;
-            connections.add(ctx.channel());
+            connection = ctx.channel();
+            connections.put(connection, this);
+        }
+
+        private void reset() {
+            markUnreadResponse();
+            StubHttpServer.reset(connection);
+        }
+
+        /** Closes the connection, which resets it if a request has not been read. */
+        private void close() {
+            markUnreadResponse();
+            connection.close();
+        }
+
+        private void markUnreadResponse() {
+            if (clock.nowMs() < lastDeliveredAtMs + UNREAD_BEFORE_RESET_MS) {
+                lastDelivered.forEach(message -> message.endMayBeLost = true);
+            }
         }
 
         @Override
@@ -133,7 +171,8 @@
 
         private void respondByState(Channel channel, List<Ledger.Message> messages, boolean isBatch) {
             switch (state) {
-                case SERVING -> processAndRespond(channel, messages, isBatch);
+                case SERVING -> processAndRespond(messages, isBatch, random.nextDouble() < SLOW_SHARE);
+                case SLOW -> processAndRespond(messages, isBatch, true);
                 case FAILING -> {
                     processSome(messages);
                     StubHttpServer.respond(channel, HttpResponseStatus.INTERNAL_SERVER_ERROR, "");
@@ -147,17 +186,56 @@
             }
         }
 
-        private void processAndRespond(Channel channel, List<Ledger.Message> messages, boolean isBatch) {
+        private void processAndRespond(List<Ledger.Message> messages, boolean isBatch, boolean slow) {
             messages.forEach(ledger::messageProcessed);
+            int processingMs = slow ? MIN_SLOW_PROCESSING_MS + random.nextInt(SLOW_PROCESSING_RANGE_MS)
+                    : MIN_PROCESSING_MS + random.nextInt(PROCESSING_RANGE_MS);
             eventLoop.schedule(() -> {
-                if (!channel.isActive() || state == State.HUNG) {
-                    return;
+                if (connection.isActive() && state != State.HUNG) {
+                    respondDelivered(messages, isBatch);
                 }
-                StringBuilder body = new StringBuilder();
-                messages.forEach(message -> body.append(message.id).append(" accepted\r\n"));
-                StubHttpServer.respond(channel, HttpResponseStatus.OK, isBatch ? body.toString() : "");
-                messages.forEach(ledger::messageDelivered);
-            }, MIN_PROCESSING_MS + random.nextInt(PROCESSING_RANGE_MS), TimeUnit.MILLISECONDS);
+            }, processingMs, TimeUnit.MILLISECONDS);
+        }
+
+        private void respondDelivered(List<Ledger.Message> messages, boolean isBatch) {
+            boolean malformed = isBatch && random.nextDouble() < MALFORMED_SHARE;
+            List<String> lines = new ArrayList<>();
+            if (isBatch) {
+                messages.forEach(message -> lines.add(message.id + " accepted\r\n"));
+            }
+            if (malformed && random.nextBoolean()) {
+                lines.remove(random.nextInt(lines.size()));
+            } else if (malformed) {
+                lines.set(random.nextInt(lines.size()), "accepted\r\n");
+            }
+            List<String> pieces = new ArrayList<>();
+            pieces.add("HTTP/1.1 200 OK\r\n");
+            pieces.add("Content-Length: " + String.join("", lines).length() + "\r\n\r\n");
+            pieces.addAll(lines);
+            int deliveringPiece = isBatch ? pieces.size() : 1;
+            if (random.nextDouble() < PIECEWISE_SHARE) {
+                writePieces(pieces, 0, deliveringPiece, malformed ? List.of() : messages);
+            } else {
+                writePieces(List.of(String.join("", pieces)), 0, 1, malformed ? List.of() : messages);
+            }
+        }
+
+        /** Writes the pieces from this index on; the messages are delivered once that many pieces are written. */
+        private void writePieces(List<String> pieces, int index, int deliveringPiece, List<Ledger.Message> messages) {
+            if (index == pieces.size() || !connection.isActive()) {
+                return;
+            }
+            StubHttpServer.writeRaw(connection, pieces.get(index)).addListener(written -> {
+                if (written.isSuccess() && index + 1 == deliveringPiece) {
+                    messages.forEach(ledger::messageDelivered);
+                    lastDelivered = messages;
+                    lastDeliveredAtMs = clock.nowMs();
+                }
+            });
+            if (index + 1 < pieces.size()) {
+                eventLoop.schedule(() -> writePieces(pieces, index + 1, deliveringPiece, messages),
+                        random.nextInt(MAX_PIECE_DELAY_MS), TimeUnit.MILLISECONDS);
+            }
         }
 
         private void processSome(List<Ledger.Message> messages) {
@@ -200,6 +278,6 @@
     /** Stops listening, and closes all connections. */
     void close() {
         serverChannel.close();
-        List.copyOf(connections).forEach(Channel::close);
+        List.copyOf(connections.values()).forEach(RequestHandler::close);
     }
 }
--- a/src/main/java/kestreldeal/scale/soak/StubHttpServer.java
+++ b/src/main/java/kestreldeal/scale/soak/StubHttpServer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -56,6 +57,12 @@
         return channel.writeAndFlush(response);
     }
 
+    /** Sends text as it is, such as a part of a response. */
+    static ChannelFuture writeRaw(Channel channel, String text) {
+        ChannelHandlerContext belowCodec = channel.pipeline().firstContext();
+        return belowCodec.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    }
+
     /** Closes a connection with a TCP reset, as after a crash. */
     static void reset(Channel channel) {
         channel.config().setOption(ChannelOption.SO_LINGER, 0);
--- a/src/test/java/kestreldeal/scale/soak/LedgerTest.java
+++ b/src/test/java/kestreldeal/scale/soak/LedgerTest.java
@@ -145,4 +145,43 @@
         ledger.noticeReceived("nobody's");
         assertBreaches(Rule.WRONG_DESTINATION, Rule.UNKNOWN_MESSAGE);
     }
+
+    /** Messages that were delivered were sent again, or reported as failed. */
+    @Test
+    void callsAndNoticesAfterTheEndAreBreaches() {
+        Ledger.Message message = acceptedMessage();
+        ledger.messageDelivered(message);
+        nowMs += 300;
+        ledger.callReceived(message, DESTINATION, Double.POSITIVE_INFINITY);
+        ledger.noticeReceived(message.id);
+        assertBreaches();
+        nowMs++;
+        ledger.callReceived(message, DESTINATION, Double.POSITIVE_INFINITY);
+        ledger.noticeReceived(acceptedMessage("other", "other", MessageClass.PAYMENT).id);
+        assertBreaches(Rule.SENT_AFTER_END);
+    }
+
+    @Test
+    void noticeAfterTheEndIsABreach() {
+        Ledger.Message message = acceptedMessage();
+        ledger.messageDelivered(message);
+        nowMs += 301;
+        ledger.noticeReceived(message.id);
+        ledger.noticeReceived(message.id);
+        assertBreaches(Rule.REPORTED_AFTER_END);
+    }
+
+    @Test
+    void processThatExitsSoonAfterTheEndMayNotHaveReadIt() {
+        Ledger.Message message = acceptedMessage();
+        ledger.messageDelivered(message);
+        nowMs += 499;
+        ledger.senderExited(SENDER);
+        nowMs += 1000;
+        ledger.callReceived(message, DESTINATION, Double.POSITIVE_INFINITY);
+        assertBreaches();
+        ledger.senderExited(SENDER);
+        ledger.callReceived(message, DESTINATION, Double.POSITIVE_INFINITY);
+        assertBreaches(Rule.SENT_AFTER_END);
+    }
 }
--- a/src/test/java/kestreldeal/scale/soak/SoakIT.java
+++ b/src/test/java/kestreldeal/scale/soak/SoakIT.java
@@ -7,12 +7,14 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /**
- * Runs a short soak test without faults, with the packaged jars: no rule may be broken, and each accepted message must
- * get its final result.
+ * Runs short soak tests with the packaged jars, one without faults and one with a fixed seed: no rule may be broken, and
+ * each accepted message must get its final result.
  */
 class SoakIT {
     private static final Path BUILD_DIRECTORY = Path.of("target");
@@ -20,12 +22,26 @@
 
     @Test
     void runWithoutFaultsBreaksNoRule() throws Exception {
-        Path resultFile = BUILD_DIRECTORY.resolve("soak-calm.jsonl");
-        Path logFile = BUILD_DIRECTORY.resolve("soak-calm.log");
-        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar",
-                BUILD_DIRECTORY.resolve("kestreldeal-scale.jar").toString(), "soak", "--calm", "--senders", "2",
-                "--seconds", "2", "--out", resultFile.toString()).redirectErrorStream(true)
-                .redirectOutput(logFile.toFile()).start();
+        assertNoBreach("soak-calm", "--calm", "--senders", "2", "--seconds", "2");
+    }
+
+    /** Messages were sent again, or reported as failed, after the response that they were delivered. */
+    @Test
+    void seededRunWithFaultsBreaksNoRule() throws Exception {
+        assertNoBreach("soak-faults", "--senders", "6", "--destinations", "4", "--rate", "20", "--seconds", "30",
+                "--seed", "1");
+    }
+
+    /** Runs the soak test with these options; its results and output go to files with this name. */
+    private static void assertNoBreach(String name, String... options) throws Exception {
+        Path resultFile = BUILD_DIRECTORY.resolve(name + ".jsonl");
+        Path logFile = BUILD_DIRECTORY.resolve(name + ".log");
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar",
+                BUILD_DIRECTORY.resolve("kestreldeal-scale.jar").toString(), "soak", "--out", resultFile.toString()));
+        command.addAll(List.of(options));
+        Process process = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(logFile.toFile())
+                .start();
         boolean exited = process.waitFor(RUN_TIMEOUT_SECONDS, TimeUnit.SECONDS);
         process.destroyForcibly().waitFor();
         assertTrue(exited, "the soak test did not exit in time");
