--- a/src/main/java/kestreldeal/DeliveryScheduler.java
+++ b/src/main/java/kestreldeal/DeliveryScheduler.java
@@ -37,10 +37,9 @@
     // Rounds of attempts.
     /** Delay before a hedged attempt, as a share of the target latency. */
     private static final double HEDGE_DELAY_SHARE = 0.5;
-    /** Hedged attempts allowed in any BUDGET_PERIOD_MS: this number, plus a share of its first sends. */
+    /** Hedged attempts allowed in any SendBudget.PERIOD_MS: this number, plus a share of its first sends. */
     private static final double HEDGES_ALWAYS_ALLOWED = 1;
     private static final double HEDGES_PER_FIRST_SEND = 0.1;
-    private static final double BUDGET_PERIOD_MS = 10_000;
     /** The same for new rounds of messages whose last attempt was refused. */
     private static final double RETRIES_ALWAYS_ALLOWED = 2;
     private static final double RETRIES_PER_FIRST_SEND = 0.3;
@@ -134,10 +133,6 @@
     private static final double IDLE_LOSS_RETENTION_MS = 30_000;
 
     // Priorities.
-    /** Priority is the value lost by waiting this much longer, about the delay of a queue under load. */
-    private static final double PRIORITY_HORIZON_MS = 1500;
-    /** Weight of the value itself in the priority, to break ties of messages that lose no value yet. */
-    private static final double PRIORITY_VALUE_WEIGHT = 0.01;
     /** Latency in which a message loses as much value as a zone fee of one point costs. */
     private static final double LATENCY_MS_PER_FEE_POINT = 25_000;
     private static final Comparator<TrackedMessage> OLDEST_FIRST = Comparator
@@ -146,11 +141,6 @@
             .comparingDouble((TrackedMessage d) -> -d.targetAt).thenComparingLong(d -> d.queuePosition);
     private static final Comparator<TrackedMessage> HIGHEST_PRIORITY_FIRST =
             Comparator.comparingDouble((TrackedMessage d) -> -d.priority()).thenComparing(OLDEST_FIRST);
-    /** Number of segments of the priority curve; one is the sum of the bits that hold, see currentSegment. */
-    private static final int SEGMENTS = 8;
-    private static final int TARGET_PASSED = 1;
-    private static final int DEADLINE_IN_HORIZON = 2;
-    private static final int MIN_VALUE_REACHED = 4;
     /** Eligibility levels of a group: it may need a new call, or can join a call that this turn started. */
     private static final int ELIGIBLE = 1;
     private static final int JOINABLE = 2;
@@ -177,8 +167,10 @@
     private final EventRate.Total totalDemand = new EventRate.Total();
     private final Set<Attempt> inFlightAttempts = new LinkedHashSet<>();
     private final TimestampQueue firstSends = new TimestampQueue();
-    private final SendBudget hedgeBudget = new SendBudget(HEDGES_ALWAYS_ALLOWED, HEDGES_PER_FIRST_SEND);
-    private final SendBudget refusedBudget = new SendBudget(RETRIES_ALWAYS_ALLOWED, RETRIES_PER_FIRST_SEND);
+    private final SendBudget hedgeBudget = new SendBudget(firstSends, HEDGES_ALWAYS_ALLOWED,
+            HEDGES_PER_FIRST_SEND);
+    private final SendBudget refusedBudget = new SendBudget(firstSends, RETRIES_ALWAYS_ALLOWED,
+            RETRIES_PER_FIRST_SEND);
     private final IdleConnectionReuse connectionReuse = new IdleConnectionReuse();
     /** Ordered messages by key: one at a time, with a cool-down after an attempt that may still run. */
     final KeyQueues<TrackedMessage> keyQueues;
@@ -195,14 +187,14 @@
         this.random = new Random(seed);
         this.timers = new Timers(CLOCK_MARGIN_MS, actions::wakeAt);
         this.keyQueues = new KeyQueues<>(timers, this::updateGroup);
-        int queueCount = 2 * settings.classes().size() * SEGMENTS;
+        int queueCount = 2 * settings.classes().size() * PriorityCurve.SEGMENTS;
         this.waiting = new GroupedQueues<>(
                 IntStream.range(0, queueCount).mapToObj(DeliveryScheduler::queueOrder).toList(), JOINABLE,
                 TrackedMessage::segmentEnd);
     }
 
     private static Comparator<TrackedMessage> queueOrder(int queue) {
-        return (queue & (TARGET_PASSED | MIN_VALUE_REACHED)) == TARGET_PASSED ? NEWEST_FIRST : OLDEST_FIRST;
+        return PriorityCurve.isNewestFirst(queue % PriorityCurve.SEGMENTS) ? NEWEST_FIRST : OLDEST_FIRST;
     }
 
     // ---- events ----
@@ -274,8 +266,8 @@
     public void restoreLearnedState(double nowMs, LearnedState state) {
         advanceClock(nowMs);
         state.firstSendsAgo().forEach(ago -> firstSends.add(clock - ago));
-        state.copiesAgo().forEach(ago -> hedgeBudget.recordSend(clock - ago));
-        state.retriesAgo().forEach(ago -> refusedBudget.recordSend(clock - ago));
+        state.copiesAgo().forEach(ago -> recordExtraSend(hedgeBudget, clock - ago));
+        state.retriesAgo().forEach(ago -> recordExtraSend(refusedBudget, clock - ago));
         state.endpoints().forEach(learned -> restoreWhenListed(learned.endpoint(), e -> e.restore(learned)));
     }
 
@@ -293,8 +285,8 @@
     public LearnedState learnedState(double nowMs) {
         advanceClock(nowMs);
         return new LearnedState(endpoints.values().stream().map(TrackedEndpoint::learnedState).toList(),
-                firstSends.ages(clock), hedgeBudget.extraSends.ages(clock),
-                refusedBudget.extraSends.ages(clock));
+                firstSends.ages(clock), hedgeBudget.extraSendAges(clock),
+                refusedBudget.extraSendAges(clock));
     }
 
     @Override
@@ -450,7 +442,7 @@
 
     /** The number of queues to serve: those of refused messages, which are last, only within the budget. */
     private int servedQueues() {
-        return settings.classes().size() * SEGMENTS * (refusedBudget.allowsSend() ? 2 : 1);
+        return settings.classes().size() * PriorityCurve.SEGMENTS * (refusedBudget.allowsSend(clock) ? 2 : 1);
     }
 
     /** Whether only the lack of a free slot keeps messages of this group from being sent. */
@@ -463,8 +455,8 @@
     private void updateGroup(TrackedMessage d) {
         if (!d.completed && d.inFlight == 0 && d.notBefore <= clock && keyOrderAllows(d) && safeToSend(d)) {
             int classIndex = d.message.messageClass() + (d.wasRefused ? settings.classes().size() : 0);
-            d.segment = d.currentSegment();
-            waiting.put(d, d.destination, classIndex * SEGMENTS + d.segment, d.allowedZone());
+            d.segment = d.priorityCurve.segmentAt(clock);
+            waiting.put(d, d.destination, classIndex * PriorityCurve.SEGMENTS + d.segment, d.allowedZone());
         } else {
             waiting.remove(d);
         }
@@ -517,7 +509,7 @@
                 && d.attempts.size() < settings.maxAttempts()
                 && safeToSend(d, endpoint)
                 && keyOrderAllows(d)
-                && (!d.wasRefused || d.inFlight > 0 || refusedBudget.allowsSend())
+                && (!d.wasRefused || d.inFlight > 0 || refusedBudget.allowsSend(clock))
                 && endpoint.limiter.retryAfterUntil <= clock
                 && clock + endpoint.requiredTimeLeft(d.messageClass) <= shutdownAt;
     }
@@ -541,18 +533,23 @@
         Call call = endpoint.joinOrStartCall();
         Attempt attempt = new Attempt(d, Optional.of(endpoint), clock);
         if (hedged) {
-            hedgeBudget.recordSend(clock);
+            recordExtraSend(hedgeBudget, clock);
         } else if (d.attempts.size() == 1) {
             firstSends.add(clock);
-            firstSends.removeBefore(clock - BUDGET_PERIOD_MS);
+            firstSends.removeBefore(clock - SendBudget.PERIOD_MS);
         } else if (d.wasRefused) {
-            refusedBudget.recordSend(clock);
+            recordExtraSend(refusedBudget, clock);
         }
         double timeout = Math.min(endpoint.timeout(d.messageClass), d.deadlineAt - clock);
         actions.send(d.message.id(), endpoint.entry.id(), timeout);
         attemptStarted(attempt, Optional.of(call), hedged);
     }
 
+    private void recordExtraSend(SendBudget budget, double at) {
+        budget.recordSend(at);
+        timers.add(at + SendBudget.PERIOD_MS + CLOCK_MARGIN_MS, () -> { /* only wakes for a turn */ });
+    }
+
     /** Records an attempt as in flight, and sets the timers for its hedge and for its call to be overdue. */
     private void attemptStarted(Attempt attempt, Optional<Call> call, boolean hedged) {
         TrackedMessage d = attempt.tracked;
@@ -646,6 +643,7 @@
         final Destination destination;
         final double targetAt;
         final double deadlineAt;
+        final PriorityCurve priorityCurve;
         List<Attempt> attempts = List.of();
         double notBefore = Double.NEGATIVE_INFINITY;
         /** Position in the order in which messages began to wait, or to wait again. */
@@ -666,6 +664,7 @@
             this.destination = destination(message.destination());
             this.deadlineAt = clock + message.timeLeftMs();
             this.targetAt = deadlineAt - messageClass.deadlineMs() + messageClass.targetLatencyMs();
+            this.priorityCurve = new PriorityCurve(messageClass, settings.valueDecay(), targetAt, deadlineAt);
             this.keyQueue = message.key().filter(key -> messageClass.ordered()).map(keyQueues::queue);
         }
 
@@ -691,47 +690,12 @@
                     .anyMatch(a -> a.inFlight && a.endpoint.filter(e -> e == endpoint).isPresent());
         }
 
-        double valueAt(double timeMs) {
-            if (timeMs > deadlineAt) {
-                return 0;
-            }
-            double late = Math.max(0, timeMs - targetAt);
-            double share = settings.valueDecay() == Decay.HALVING ? Math.max(messageClass.minValueShare(),
-                    Math.pow(0.5, late / messageClass.targetLatencyMs()))
-                    : 1 - (1 - messageClass.minValueShare()) * late / Math.max(1,
-                    messageClass.deadlineMs() - messageClass.targetLatencyMs());
-            return messageClass.value() * share;
-        }
-
         double priority() {
-            double value = valueAt(clock);
-            return value - valueAt(clock + PRIORITY_HORIZON_MS) + PRIORITY_VALUE_WEIGHT * value;
-        }
-
-        /**
-         * The current segment of the priority curve, in which the order of two messages of a class is fixed.
-         * Until the target time priority rises: oldest first. Then it falls: newest first, with a jump up
-         * where PRIORITY_HORIZON_MS reaches the deadline. At the minimum value it is constant: oldest first.
-         */
-        int currentSegment() {
-            return (clock > targetAt ? TARGET_PASSED : 0)
-                    + (clock > deadlineAt - PRIORITY_HORIZON_MS ? DEADLINE_IN_HORIZON : 0)
-                    + (clock > minValueAt() ? MIN_VALUE_REACHED : 0);
+            return priorityCurve.priorityAt(clock);
         }
 
         double segmentEnd() {
-            double horizonAt = (segment & DEADLINE_IN_HORIZON) > 0 ? Double.POSITIVE_INFINITY
-                    : deadlineAt - PRIORITY_HORIZON_MS;
-            double minAt = (segment & MIN_VALUE_REACHED) > 0 ? Double.POSITIVE_INFINITY : minValueAt();
-            return (segment & TARGET_PASSED) > 0 ? Math.min(horizonAt, minAt) : Math.min(horizonAt, targetAt);
-        }
-
-        private double minValueAt() {
-            if (messageClass.value() <= 0 || messageClass.minValueShare() >= 1) {
-                return targetAt;
-            }
-            return settings.valueDecay() == Decay.LINEAR ? Double.POSITIVE_INFINITY : targetAt
-                    - messageClass.targetLatencyMs() * Math.log(messageClass.minValueShare()) / Math.log(2);
+            return priorityCurve.segmentEnd(segment);
         }
     }
 
@@ -759,7 +723,8 @@
         @Override
         void fire() {
             boolean hedge = inFlight && tracked.messageClass.repeat() != Repeat.UNSAFE && settings.hedging();
-            if (hedge && !tracked.completed && slotsUsed < settings.slotCount() && hedgeBudget.allowsSend()) {
+            boolean slotFree = slotsUsed < settings.slotCount();
+            if (hedge && !tracked.completed && slotFree && hedgeBudget.allowsSend(clock)) {
                 chooseEndpoint(tracked, true).ifPresent(endpoint -> send(tracked, endpoint, true));
             }
         }
@@ -1412,30 +1377,4 @@
             lossConfirmed &= loss.isPresent();
         }
     }
-
-    /**
-     * Limits extra sends to a share of first sends, over all destinations. Without it hedged attempts could
-     * double the load on a slow destination, and retries of refused messages could keep its limit used up.
-     */
-    private final class SendBudget {
-        private final double alwaysAllowed;
-        private final double perFirstSend;
-        private final TimestampQueue extraSends = new TimestampQueue();
-
-        SendBudget(double alwaysAllowed, double perFirstSend) {
-            this.alwaysAllowed = alwaysAllowed;
-            this.perFirstSend = perFirstSend;
-        }
-
-        void recordSend(double at) {
-            extraSends.add(at);
-            timers.add(at + BUDGET_PERIOD_MS + CLOCK_MARGIN_MS, () -> { /* only wakes for a turn */ });
-        }
-
-        boolean allowsSend() {
-            extraSends.removeBefore(clock - BUDGET_PERIOD_MS);
-            firstSends.removeBefore(clock - BUDGET_PERIOD_MS);
-            return extraSends.size() + 1 <= alwaysAllowed + perFirstSend * firstSends.size();
-        }
-    }
 }
