Believe each whole batch response, and end a call before the budget of one of its messages does

Cause: batchResponseReceived discarded a whole response to several messages if the budget of any one might be used up (counted up to 400 ms early) and ended all the others as broken, so that keyed ones were sent again and unsafe ones failed. Beside it each attempt of a call had a timeout of its own: one message could be sent again while its call went on and then delivered it.

Fix: the ambiguous response doesn't arise. A call with several messages ends before any of their budgets may, all its attempts time out together, and a message joins a call only if a response is expected before that (mean latency). What is read whole counts, whatever the time. A call that ends before it was overdue is no evidence against its endpoint.

--- a/src/main/java/kestreldeal/DeliveryScheduler.java
+++ b/src/main/java/kestreldeal/DeliveryScheduler.java
@@ -411,12 +411,16 @@
         waiting.requeueExpired(clock, this::updateGroup);
         waiting.updateEligibility(clock);
         List<Group<TrackedMessage>> setAside = new ArrayList<>();
+        List<TrackedMessage> deferred = new ArrayList<>();
         for (Group<TrackedMessage> group = nextGroup(); group != null; group = nextGroup()) {
             TrackedMessage d = group.first();
             Optional<TrackedEndpoint> endpoint = chooseEndpoint(d, false);
             if (endpoint.isPresent()) {
                 send(d, endpoint.get(), false);
                 waiting.updateEligibility(clock);
+            } else if (needsCallOfItsOwn(d)) {
+                waiting.remove(d);
+                deferred.add(d);
             } else if (!safeToSend(d)) {
                 updateGroup(d);
             } else {
@@ -424,6 +428,7 @@
                 setAside.add(group);
             }
         }
+        deferToNextTurn(deferred);
         boolean slotsScarce = settings.cancellation() && slotsUsed >= settings.slotCount() - 1;
         if (slotsScarce && (setAside.stream().anyMatch(this::lacksOnlySlot)
                 || waiting.groups(servedQueues(), ELIGIBLE).anyMatch(this::lacksOnlySlot))) {
@@ -434,6 +439,21 @@
         waiting.groups(Integer.MAX_VALUE, JOINABLE).forEach(group -> group.owner.markChanged());
     }
 
+    /** Whether a call of this turn could take the message, if their budgets allowed them to share it. */
+    private boolean needsCallOfItsOwn(TrackedMessage d) {
+        return d.destination.endpoints.stream()
+                .anyMatch(e -> e.canJoinCall() && !e.latestCall.canCarry(d) && sendConditionsMet(d, e));
+    }
+
+    /** Attempts of one turn to one endpoint share a call: a call of its own must wait for the next turn. */
+    private void deferToNextTurn(List<TrackedMessage> deferred) {
+        if (!deferred.isEmpty()) {
+            deferred.forEach(this::updateGroup);
+            waiting.updateEligibility(clock);
+            timers.add(clock, () -> { /* only wakes for a turn */ });
+        }
+    }
+
     /** The next group to serve, or null. Without a free slot messages can only join calls of this turn. */
     private Group<TrackedMessage> nextGroup() {
         return waiting.first(servedQueues(), slotsUsed < settings.slotCount() ? ELIGIBLE : JOINABLE,
@@ -497,8 +517,8 @@
 
     /** The condition of every send: of first sends, hedged attempts and new rounds. */
     private boolean canSend(TrackedMessage d, TrackedEndpoint endpoint) {
-        return sendConditionsMet(d, endpoint) && (endpoint.canJoinCall()
-                || endpoint.slotAvailable() && endpoint.isReady());
+        return sendConditionsMet(d, endpoint) && (endpoint.canJoinCall() ? endpoint.latestCall.canCarry(d)
+                : endpoint.slotAvailable() && endpoint.isReady());
     }
 
     /** The conditions of every send, whether it needs a slot of its own or joins a call. */
@@ -530,7 +550,7 @@
     }
 
     private void send(TrackedMessage d, TrackedEndpoint endpoint, boolean hedged) {
-        Call call = endpoint.joinOrStartCall();
+        Call call = endpoint.joinOrStartCall(d);
         Attempt attempt = new Attempt(d, Optional.of(endpoint), clock);
         if (hedged) {
             recordExtraSend(hedgeBudget, clock);
@@ -643,6 +663,8 @@
         final Destination destination;
         final double targetAt;
         final double deadlineAt;
+        /** Until then it may share a call. */
+        final double sharedUntil;
         final PriorityCurve priorityCurve;
         List<Attempt> attempts = List.of();
         double notBefore = Double.NEGATIVE_INFINITY;
@@ -663,6 +685,7 @@
             this.messageClass = settings.classes().get(message.messageClass());
             this.destination = destination(message.destination());
             this.deadlineAt = clock + message.timeLeftMs();
+            this.sharedUntil = clock + Math.min(message.timeLeftMs(), message.budgetLeftMs());
             this.targetAt = deadlineAt - messageClass.deadlineMs() + messageClass.targetLatencyMs();
             this.priorityCurve = new PriorityCurve(messageClass, settings.valueDecay(), targetAt, deadlineAt);
             this.keyQueue = message.key().filter(key -> messageClass.ordered()).map(keyQueues::queue);
@@ -740,7 +763,11 @@
         }
     }
 
-    /** A request on the wire: takes one slot, counts once for health, and is overdue when its timer fires. */
+    /**
+     * A request on the wire. If it carries several messages, it ends while none of them can be over: a
+     * response that came later would be ambiguous. It takes one slot, counts once for health, and is overdue
+     * when its timer fires.
+     */
     private final class Call extends Timer {
         final TrackedEndpoint endpoint;
         final double sentAt;
@@ -750,6 +777,8 @@
         final double connIdleMs;
         int attemptCount;
         int attemptsInFlight;
+        double sharedUntil = Double.POSITIVE_INFINITY;
+        double lastTimeoutAt = Double.NEGATIVE_INFINITY;
         boolean resultRecorded;
         boolean overdue;
 
@@ -765,12 +794,26 @@
             endpoint.destination.markChanged();
         }
 
+        /** Whether a response is expected before its end if it carries this message as well. */
+        boolean canCarry(TrackedMessage d) {
+            double endAt = Math.min(sharedUntil, d.sharedUntil);
+            return Math.max(lastTimeoutAt, endpoint.timeoutAt(d)) <= endAt
+                    || clock + endpoint.meanLatency <= endAt;
+        }
+
+        void add(TrackedMessage d) {
+            attemptCount++;
+            attemptsInFlight++;
+            sharedUntil = Math.min(sharedUntil, d.sharedUntil);
+            lastTimeoutAt = Math.max(lastTimeoutAt, endpoint.timeoutAt(d));
+        }
+
         void attemptCompleted(AttemptResult result) {
             attemptsInFlight--;
             endpoint.limiter.recordRetryAfter(result.retryAfterMs());
             endpoint.limiter.recordReportedRate(result.report().rate());
             if (!resultRecorded && result.outcome() != Outcome.CANCELLED
-                    && result.outcome() != Outcome.NOT_SENT) {
+                    && result.outcome() != Outcome.NOT_SENT && !endedEarly(result)) {
                 resultRecorded = true;
                 endpoint.recordResult(this, result);
             }
@@ -784,6 +827,11 @@
             endpoint.destination.markChanged();
         }
 
+        /** Whether a budget ended it before it was overdue, which says nothing about its endpoint. */
+        private boolean endedEarly(AttemptResult result) {
+            return result.outcome() == Outcome.TIMED_OUT && clock - sentAt < endpoint.overdueAfter();
+        }
+
         /** Sets the time from which the call is overdue; the earliest of its attempts counts. */
         void setOverdueAt(double overdueAt) {
             if (overdueAt < dueAt()) {
@@ -1095,7 +1143,7 @@
                     && state != EndpointState.DOWN;
         }
 
-        Call joinOrStartCall() {
+        Call joinOrStartCall(TrackedMessage d) {
             if (!canJoinCall()) {
                 latestCall = new Call(this, clock, OptionalLong.empty());
                 limiter.recordSend();
@@ -1105,8 +1153,7 @@
             if (!isInFullService()) {
                 limiter.nextRecoverySendAt = clock + 1 / limiter.totalRecoveryRate(this);
             }
-            latestCall.attemptCount++;
-            latestCall.attemptsInFlight++;
+            latestCall.add(d);
             return latestCall;
         }
 
@@ -1172,6 +1219,11 @@
             return Math.max(usual, unsafeMin);
         }
 
+        /** When an attempt that starts now times out. */
+        double timeoutAt(TrackedMessage d) {
+            return Math.min(clock + timeout(d.messageClass), d.deadlineAt);
+        }
+
         /** Allowed rate while down or in slow start, from the rate it sustained before or may sustain. */
         double recoveryRate() {
             double assumed = destination.demand.perMs() / destination.servingOrOne() * ASSUMED_DEMAND_SHARE;
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -200,10 +200,17 @@
 
     /**
      * A message as it was accepted. {@code timeLeftMs} is the time left until the deadline of its class; {@code key}
-     * is set for the classes whose messages are delivered in order.
+     * is set for the classes whose messages are delivered in order. {@code budgetLeftMs} is the time for which the
+     * client's budget lasts at least; a call with several messages ends before any of their budgets does, since its
+     * response could be read as the result of a message that is over.
      */
     record Message(long id, int messageClass, int tenant, Optional<String> key, double timeLeftMs,
-            long destination) {
+            long destination, double budgetLeftMs) {
+        /** A message whose client's budget lasts until its deadline. */
+        public Message(long id, int messageClass, int tenant, Optional<String> key, double timeLeftMs,
+                long destination) {
+            this(id, messageClass, tenant, key, timeLeftMs, destination, timeLeftMs);
+        }
     }
 
     /**
--- a/src/main/java/kestreldeal/net/AcceptedMessage.java
+++ b/src/main/java/kestreldeal/net/AcceptedMessage.java
@@ -171,9 +171,9 @@
         return (completionDeadlineNanos - clock.nanos()) / 1e6;
     }
 
-    /** Whether the client's budget may be used up. */
-    boolean budgetMayBeUsedUp(MachineClock clock) {
-        return clock.nanos() >= earliestBudgetEndNanos;
+    /** Time for which the client's budget lasts at least; negative if it may be used up. */
+    double budgetLeftMs(MachineClock clock) {
+        return (earliestBudgetEndNanos - clock.nanos()) / 1e6;
     }
 
     AcceptedMessage(long number, String id, String messageClass, String tenant, Optional<String> key, long destination,
--- a/src/main/java/kestreldeal/net/EndpointClient.java
+++ b/src/main/java/kestreldeal/net/EndpointClient.java
@@ -111,8 +111,6 @@
 
     /** Why a result that was read is not reported. */
     enum DiscardReason {
-        /** The budget of one of the messages in the response may have been used up. */
-        BUDGET_USED_UP,
         /** Another part of the response is malformed. */
         MALFORMED_RESPONSE,
         /** The attempt had timed out before. */
@@ -186,17 +184,16 @@
     }
 
     /**
-     * Starts an attempt; its result is reported once, within the timeout or soon after. The timeout counts from the
-     * decision, not from this method call: after a long turn an attempt whose timeout ends at the deadline of its
-     * message would otherwise complete after the deadline, and the notice of the final result would be late.
+     * Starts an attempt; its result is reported once. The attempts of a call time out together: at the last of their
+     * timeouts or, if there are several, before the budget of any of their messages may be used up. The timeout counts from the decision,
+     * not from this method call: after a long turn an attempt whose timeout ends at the deadline of its message would
+     * otherwise complete after the deadline, and the notice of the final result would be late.
      */
     OutboundAttempt startAttempt(AcceptedMessage message, int attemptNumber, long endpoint, double timeoutMs,
             long decidedNanos) {
         double timeLeftMs = Math.max(0, timeoutMs - (System.nanoTime() - decidedNanos) / 1e6);
         Call call = peers.get(endpoint).callFor(message);
         OutboundAttempt attempt = new OutboundAttempt(message, attemptNumber, call, timeLeftMs);
-        attempt.timeoutTimer = loop.schedule(attempt::timedOut, (long) Math.ceil(timeLeftMs * 1000),
-                TimeUnit.MICROSECONDS);
         call.add(attempt);
         return attempt;
     }
@@ -321,7 +318,6 @@
         final long startedNanos = System.nanoTime();
         private final Call call;
         private final double timeoutMs;
-        private Future<?> timeoutTimer;
         private boolean completed;
         /** The outcome, once the attempt is completed. */
         private Outcome outcome;
@@ -342,11 +338,6 @@
             return call.peer.endpoint;
         }
 
-        private void timedOut() {
-            complete(call.mayStillArrive() ? Outcome.TIMED_OUT : Outcome.UNREACHABLE);
-            call.abandonIfCompleted();
-        }
-
         private void complete(Outcome finalOutcome) {
             complete(finalOutcome, false, 0);
         }
@@ -357,7 +348,7 @@
             }
             completed = true;
             outcome = finalOutcome;
-            timeoutTimer.cancel(false);
+            call.cancelTimeoutIfCompleted();
             // Deferred: the result may be found while the decision module is running, and must not call back into it.
             loop.execute(() -> listener.attemptCompleted(this, finalOutcome, messageExpired, retryAfterMs, call.report));
         }
@@ -402,6 +393,7 @@
         private final Peer peer;
         private final List<OutboundAttempt> attempts = new ArrayList<>();
         private int batchBodyBytes;
+        private Future<?> timeoutTimer;
         private Connection connection;
         /** Whether it was written as a batch, that is, with more than one message. */
         private boolean isBatch;
@@ -419,6 +411,29 @@
         private void add(OutboundAttempt attempt) {
             attempts.add(attempt);
             batchBodyBytes += encodeBatchItem(attempt.message).length;
+            if (timeoutTimer != null) {
+                timeoutTimer.cancel(false);
+            }
+            timeoutTimer = loop.schedule(this::timedOut, (long) Math.ceil(timeLeftMs() * 1000), TimeUnit.MICROSECONDS);
+        }
+
+        private double timeLeftMs() {
+            double lastTimeoutMs = attempts.stream().mapToDouble(a -> a.timeoutMs).max().orElseThrow();
+            double sharedTimeLeftMs = attempts.size() == 1 ? lastTimeoutMs : attempts.stream()
+                    .mapToDouble(a -> Math.min(a.message.timeLeftMs(clock), a.message.budgetLeftMs(clock))).min()
+                    .orElseThrow();
+            return Math.max(0, Math.min(lastTimeoutMs, sharedTimeLeftMs));
+        }
+
+        private void timedOut() {
+            completeAll(fullyWritten ? Outcome.TIMED_OUT : Outcome.UNREACHABLE);
+            abandonIfCompleted();
+        }
+
+        private void cancelTimeoutIfCompleted() {
+            if (attemptsInFlight().isEmpty()) {
+                timeoutTimer.cancel(false);
+            }
         }
 
         /** Whether a message can be added: the batch has room, and all its messages can be written in a batch body. */
@@ -506,10 +521,9 @@
             byte[] body = isBatch ? encodeBatch(batch) : first.body;
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
                     isBatch ? "/v1/messages:batch" : "/v1/messages", Unpooled.wrappedBuffer(body));
-            double budgetMs = batch.stream().mapToDouble(a -> a.timeoutMs).max().orElseThrow();
             request.headers()
                     .set(HttpHeaderNames.HOST, hostPort(peer.address))
-                    .set("X-Budget-Ms", Math.max(1, (long) budgetMs))
+                    .set("X-Budget-Ms", Math.max(1, (long) timeLeftMs()))
                     .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             if (!isBatch) {
                 request.headers().set("X-Call-Id", first.id);
@@ -533,14 +547,6 @@
             return item.toByteArray();
         }
 
-        /**
-         * Whether the request may still arrive completely although one of its attempts ends now: the connection stays
-         * open while other attempts of the call are in flight.
-         */
-        private boolean mayStillArrive() {
-            return fullyWritten || writeStarted && attemptsInFlight().size() > 1;
-        }
-
         /** The connection closed. The messages may have been processed only if the last byte was written. */
         private void connectionLost() {
             completeAll(fullyWritten ? Outcome.BROKEN : Outcome.UNREACHABLE);
@@ -585,8 +591,7 @@
 
         /**
          * Completes the attempts by the body of a batch response, which has one line for each message. The whole
-         * response counts as malformed if a line can't be parsed or is missing, and also if the deadline of one of the
-         * messages has passed: such a response has said "accepted" for messages that had not been delivered.
+         * response counts as malformed if a line can't be parsed or is missing.
          */
         private void batchResponseReceived(String body) {
             boolean malformed = false;
@@ -597,12 +602,10 @@
                         EndpointResult.ofBatchWord(word.group(2), retryAfterMs)) != null;
             }
             malformed |= attempts.stream().anyMatch(a -> !a.completed && !results.containsKey(a.message.id));
-            boolean budgetUsedUp = attempts.stream().anyMatch(a -> a.message.budgetMayBeUsedUp(clock));
-            if (malformed || budgetUsedUp) {
-                DiscardReason reason = malformed ? DiscardReason.MALFORMED_RESPONSE : DiscardReason.BUDGET_USED_UP;
-                Log.write("ignored the response to a batch of " + attempts.size() + " messages: " + reason);
+            if (malformed) {
+                Log.write("ignored the malformed response to a batch of " + attempts.size() + " messages");
                 attempts.stream().filter(a -> results.containsKey(a.message.id))
-                        .forEach(a -> a.discard(results.get(a.message.id), reason));
+                        .forEach(a -> a.discard(results.get(a.message.id), DiscardReason.MALFORMED_RESPONSE));
                 responseMalformed();
                 return;
             }
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -353,7 +353,7 @@
         // A tenant that is no longer configured counts as the first one.
         return new Relay.Message(message.number, messageClass,
                 Math.max(0, config.tenantNames().indexOf(message.tenant)), message.key, cappedTimeLeftMs,
-                message.destination);
+                message.destination, message.budgetLeftMs(machineClock));
     }
 
     // ---- the clock and turns ----
--- a/src/test/java/kestreldeal/DeliverySchedulerTest.java
+++ b/src/test/java/kestreldeal/DeliverySchedulerTest.java
@@ -810,6 +810,39 @@
         assertEquals(5, harness.sends.size());
     }
 
+    /**
+     * A response to several messages came after the budget of one of them, and nothing told whether the others were
+     * delivered.
+     */
+    @Test
+    void messageWithLittleTimeLeftGetsACallOfItsOwn() {
+        SchedulerHarness harness = new SchedulerHarness().putEndpoint(10, 1, 1, 0, true);
+        harness.submitInOneTurn(SAFE, 1, 16_000, 200, 16_000);
+        assertEquals(List.of(2L), harness.sentMessages());
+        harness.runUntil(10);
+        assertEquals(List.of(2L, 1L, 3L), harness.sentMessages());
+        assertEquals(harness.sends.get(1).sentAt(), harness.sends.get(2).sentAt());
+    }
+
+    /** Calls that end with a budget marked healthy endpoints as down. */
+    @Test
+    void callsThatEndBeforeTheyAreOverdueSayNothingAboutTheirEndpoint() {
+        SchedulerHarness harness = new SchedulerHarness().addEndpoints(1, 10);
+        for (long id = 1; id <= 10; id++) {
+            harness.submit(id, UNSAFE, 1);
+            harness.runUntil(harness.now + 300);
+            harness.complete(id, 0, Outcome.TIMED_OUT);
+        }
+        assertTrue(harness.health.isEmpty(), harness.health.toString());
+    }
+
+    @Test
+    void messagesWhoseTimeEndsTogetherShareACall() {
+        SchedulerHarness harness = new SchedulerHarness(1).putEndpoint(10, 1, 1, 0, true);
+        harness.submitInOneTurn(SAFE, 1, 200, 200, 200);
+        assertEquals(3, harness.sends.size());
+    }
+
     @Test
     void cheaperRouteIsPreferred() {
         SchedulerHarness harness = new SchedulerHarness().putEndpoint(10, 1, 2, 1, true).putEndpoint(11, 1, 2, 0, true);
