Count each end that is read, also after its attempt was cancelled or timed out

Cause: the result of a completed attempt was dropped when read. One message of a batch was cancelled to free a slot, though one message can't be cancelled on the wire: its call stayed open, held the slot, and then said `accepted`. A response that crossed the end of a call (100 ms) was read for its Retry-After wait only. A timeout fired before bytes were read that had arrived in time.

Fix: a result read late ends its message, with its waiting retries, attempts not yet written and a notice not yet sent; "never ran" read late frees it to be sent again. An end counts from the moment it is read: an attempt or notice decided in the same turn is not made, and one decided 2 s later is a breach that is counted. A call is cancelled for a slot as a whole, and only if all its messages may be repeated. The sockets are read once more before a timeout. The process that has handed over passes late results on.

--- a/src/main/java/kestreldeal/DeliveryScheduler.java
+++ b/src/main/java/kestreldeal/DeliveryScheduler.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import java.util.stream.DoubleStream;
 import java.util.stream.IntStream;
 import kestreldeal.GroupedQueues.Group;
@@ -327,6 +328,7 @@
         }
         Attempt attempt = d.attempts.get(result.attempt());
         if (!attempt.inFlight) {
+            lateResult(attempt, result);
             return;
         }
         attempt.inFlight = false;
@@ -350,6 +352,15 @@
         }
     }
 
+    /** A result that was read after its attempt had timed out, been cancelled or lost its connection. */
+    private void lateResult(Attempt attempt, AttemptResult result) {
+        attempt.mayHaveRun &= result.outcome().mayHaveRun();
+        if (result.messageFinished()) {
+            complete(attempt.tracked);
+        }
+        updateGroup(attempt.tracked);
+    }
+
     @Override
     public void retryAfterReceived(double nowMs, long endpointId, double retryAfterMs) {
         advanceClock(nowMs);
@@ -428,32 +439,27 @@
                 setAside.add(group);
             }
         }
-        deferToNextTurn(deferred);
+        if (!deferred.isEmpty()) {
+            deferred.forEach(this::updateGroup);
+            waiting.updateEligibility(clock);
+            timers.add(clock, () -> { /* only wakes for a turn */ });
+        }
         boolean slotsScarce = settings.cancellation() && slotsUsed >= settings.slotCount() - 1;
         if (slotsScarce && (setAside.stream().anyMatch(this::lacksOnlySlot)
                 || waiting.groups(servedQueues(), ELIGIBLE).anyMatch(this::lacksOnlySlot))) {
-            cancelSlowestAttempt();
+            cancelSlowestCall();
         }
         setAside.forEach(group -> group.owner.markChanged());
         // The calls of this turn can't be joined in the next turn.
         waiting.groups(Integer.MAX_VALUE, JOINABLE).forEach(group -> group.owner.markChanged());
     }
 
-    /** Whether a call of this turn could take the message, if their budgets allowed them to share it. */
+    /** Whether it needs a call of its own, in a later turn, as attempts of one turn share a call. */
     private boolean needsCallOfItsOwn(TrackedMessage d) {
         return d.destination.endpoints.stream()
                 .anyMatch(e -> e.canJoinCall() && !e.latestCall.canCarry(d) && sendConditionsMet(d, e));
     }
 
-    /** Attempts of one turn to one endpoint share a call: a call of its own must wait for the next turn. */
-    private void deferToNextTurn(List<TrackedMessage> deferred) {
-        if (!deferred.isEmpty()) {
-            deferred.forEach(this::updateGroup);
-            waiting.updateEligibility(clock);
-            timers.add(clock, () -> { /* only wakes for a turn */ });
-        }
-    }
-
     /** The next group to serve, or null. Without a free slot messages can only join calls of this turn. */
     private Group<TrackedMessage> nextGroup() {
         return waiting.first(servedQueues(), slotsUsed < settings.slotCount() ? ELIGIBLE : JOINABLE,
@@ -488,20 +494,25 @@
     }
 
     /**
-     * Of the attempts that may be repeated, cancels the one that most exceeds its limit, see {@link
+     * Of the calls whose messages may be repeated, cancels the one that most exceeds its limit, see {@link
      * Attempt#cancelLimitRatio}: a few unanswered calls could hold all slots until their timeouts. Each
-     * cancellation raises the limit for the endpoint, as it may only be slow. The attempt's call then counts
-     * as overdue, so that a silent endpoint is marked as down and does not take the slots again.
+     * cancellation raises the limit for the endpoint, as it may only be slow. The call counts as overdue, so
+     * that a silent endpoint is marked as down and does not take the slots again.
      */
-    private void cancelSlowestAttempt() {
+    private void cancelSlowestCall() {
+        Set<Optional<Call>> unsafeCalls = inFlightAttempts.stream()
+                .filter(a -> a.tracked.messageClass.repeat() == Repeat.UNSAFE).map(a -> a.call)
+                .collect(Collectors.toSet());
         inFlightAttempts.stream()
-                .filter(a -> !a.cancelledForSlot && a.tracked.messageClass.repeat() != Repeat.UNSAFE)
-                .filter(a -> a.cancelLimitRatio() > 1)
-                .max(Comparator.comparingDouble(Attempt::cancelLimitRatio)).ifPresent(slowest -> {
-                    slowest.cancelledForSlot = true;
-                    slowest.endpoint.get().slotCancellations++;
-                    slowest.call.ifPresent(Call::fire);
-                    actions.cancel(slowest.tracked.message.id(), slowest.tracked.attempts.indexOf(slowest));
+                .filter(a -> !a.cancelledForSlot && !unsafeCalls.contains(a.call) && a.cancelLimitRatio() > 1)
+                .max(Comparator.comparingDouble(Attempt::cancelLimitRatio)).flatMap(a -> a.call)
+                .ifPresent(slowest -> {
+                    slowest.endpoint.slotCancellations++;
+                    slowest.fire();
+                    inFlightAttempts.stream().filter(a -> a.call.equals(Optional.of(slowest))).forEach(a -> {
+                        a.cancelledForSlot = true;
+                        actions.cancel(a.tracked.message.id(), a.tracked.attempts.indexOf(a));
+                    });
                 });
     }
 
@@ -812,8 +823,10 @@
             attemptsInFlight--;
             endpoint.limiter.recordRetryAfter(result.retryAfterMs());
             endpoint.limiter.recordReportedRate(result.report().rate());
-            if (!resultRecorded && result.outcome() != Outcome.CANCELLED
-                    && result.outcome() != Outcome.NOT_SENT && !endedEarly(result)) {
+            // A budget may end a call before it is overdue, which says nothing about its endpoint.
+            boolean early = result.outcome() == Outcome.TIMED_OUT && clock - sentAt < endpoint.overdueAfter();
+            if (!early && !resultRecorded && result.outcome() != Outcome.CANCELLED
+                    && result.outcome() != Outcome.NOT_SENT) {
                 resultRecorded = true;
                 endpoint.recordResult(this, result);
             }
@@ -827,11 +840,6 @@
             endpoint.destination.markChanged();
         }
 
-        /** Whether a budget ended it before it was overdue, which says nothing about its endpoint. */
-        private boolean endedEarly(AttemptResult result) {
-            return result.outcome() == Outcome.TIMED_OUT && clock - sentAt < endpoint.overdueAfter();
-        }
-
         /** Sets the time from which the call is overdue; the earliest of its attempts counts. */
         void setOverdueAt(double overdueAt) {
             if (overdueAt < dueAt()) {
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -17,8 +17,8 @@
  *
  * <p>Incorrect use (the result of an unknown attempt, the id of a message that is still tracked, an unknown class, a
  * time that decreases) throws {@link IllegalArgumentException}. Events that can arrive late in normal operation are
- * ignored: a cancellation of an unknown or completed message, a timer that is no longer needed, a second result of an
- * attempt whose message has other attempts in flight or is not completed yet.
+ * ignored: a cancellation of an unknown or completed message, a timer that is no longer needed. A second result of an
+ * attempt counts if it finishes the message or tells that the attempt never ran.
  */
 public interface Relay {
     /** Creates an instance without messages, endpoints or learned state. */
--- a/src/main/java/kestreldeal/net/AcceptedMessage.java
+++ b/src/main/java/kestreldeal/net/AcceptedMessage.java
@@ -59,8 +59,9 @@
      * once its notice, if it has one, is confirmed or dropped.
      */
     boolean finished;
-    /** Whether a complete response has reported the message as delivered or expired, set when it is read. */
-    boolean endRead;
+    /** Whether a complete response has reported the message as delivered or expired; set when it is read. */
+    private boolean endRead;
+    private long endReadNanos;
 
     /**
      * An attempt to deliver the message. Also after a restart it counts as one that may have run, unless {@link
@@ -166,6 +167,23 @@
         return attempts.stream().anyMatch(a -> !a.neverRan);
     }
 
+    /** A complete response has reported the message as delivered or expired. */
+    void endWasRead() {
+        if (!endRead) {
+            endRead = true;
+            endReadNanos = System.nanoTime();
+        }
+    }
+
+    boolean isEndRead() {
+        return endRead;
+    }
+
+    /** Time since its end was read. */
+    double endReadAgoMs() {
+        return (System.nanoTime() - endReadNanos) / 1e6;
+    }
+
     /** Time left until the deadline of the message; negative after it. */
     double timeLeftMs(MachineClock clock) {
         return (completionDeadlineNanos - clock.nanos()) / 1e6;
--- a/src/main/java/kestreldeal/net/EndpointClient.java
+++ b/src/main/java/kestreldeal/net/EndpointClient.java
@@ -88,6 +88,13 @@
         void attemptCompleted(OutboundAttempt attempt, Outcome outcome, boolean messageExpired, double retryAfterMs,
                 LoadReport report);
 
+        /**
+         * The response to an attempt was read after the attempt had been reported as timed out or cancelled. The result
+         * ends the message, or tells that the attempt never ran.
+         */
+        default void lateResultRead(OutboundAttempt attempt, EndpointResult result) {
+        }
+
         /** A call has been written completely; it carries this number of messages. */
         default void callWritten(int messages) {
         }
@@ -319,8 +326,11 @@
         private final Call call;
         private final double timeoutMs;
         private boolean completed;
-        /** The outcome, once the attempt is completed. */
-        private Outcome outcome;
+        /** The result, once the attempt is completed. */
+        private EndpointResult result;
+        /** Whether the result was read from a response. */
+        private boolean resultRead;
+        private boolean reported;
 
         private OutboundAttempt(AcceptedMessage message, int attemptNumber, Call call, double timeoutMs) {
             this.message = message;
@@ -338,47 +348,66 @@
             return call.peer.endpoint;
         }
 
-        private void complete(Outcome finalOutcome) {
-            complete(finalOutcome, false, 0);
+        /** Completes the attempt without a response, unless it is completed already. */
+        private void complete(Outcome outcome) {
+            if (!completed) {
+                complete(new EndpointResult(outcome, false, 0), false);
+            }
         }
 
-        private void complete(Outcome finalOutcome, boolean messageExpired, double retryAfterMs) {
-            if (completed) {
+        /**
+         * Completes the attempt by its result in a response. If it was completed without one, the result still counts
+         * as far as it ends the message or tells that the attempt never ran.
+         */
+        private void complete(EndpointResult read) {
+            if (resultRead) {
                 return;
             }
+            boolean counts = !completed || read.endsMessage() || !read.outcome().mayHaveRun();
+            recordRead(read, counts ? Optional.empty() : Optional.of(discardReason()));
+            if (!completed) {
+                complete(read, true);
+            } else if (counts && reported) {
+                resultRead = true;
+                loop.execute(() -> listener.lateResultRead(this, read));
+            } else if (counts) {
+                resultRead = true;
+                result = read;
+            }
+        }
+
+        private void complete(EndpointResult finalResult, boolean read) {
             completed = true;
-            outcome = finalOutcome;
+            result = finalResult;
+            resultRead = read;
             call.cancelTimeoutIfCompleted();
             // Deferred: the result may be found while the decision module is running, and must not call back into it.
-            loop.execute(() -> listener.attemptCompleted(this, finalOutcome, messageExpired, retryAfterMs, call.report));
-        }
-
-        /** Completes the attempt by its result in a response, unless it is completed already. */
-        private void complete(EndpointResult result) {
-            resultRead(result, discardReason());
-            complete(result.outcome(), result.messageExpired(), result.retryAfterMs());
+            loop.execute(() -> {
+                reported = true;
+                listener.attemptCompleted(this, result.outcome(), result.messageExpired(), result.retryAfterMs(),
+                        call.report);
+            });
         }
 
-        private void discard(EndpointResult result, DiscardReason reason) {
-            resultRead(result, Optional.of(reason));
+        private void discard(EndpointResult read, DiscardReason reason) {
+            recordRead(read, Optional.of(reason));
         }
 
-        private void resultRead(EndpointResult result, Optional<DiscardReason> discarded) {
+        private void recordRead(EndpointResult read, Optional<DiscardReason> discarded) {
             // A malformed response counts for none of its messages: by the protocol, each may or may not have run.
             boolean malformed = discarded.filter(DiscardReason.MALFORMED_RESPONSE::equals).isPresent();
-            message.endRead |= result.endsMessage() && !malformed;
-            listener.resultRead(this, result, discarded);
+            if (read.endsMessage() && !malformed) {
+                message.endWasRead();
+            }
+            listener.resultRead(this, read, discarded);
         }
 
-        private Optional<DiscardReason> discardReason() {
-            if (!completed) {
-                return Optional.empty();
-            }
-            return Optional.of(switch (outcome) {
+        private DiscardReason discardReason() {
+            return switch (result.outcome()) {
                 case TIMED_OUT, UNREACHABLE -> DiscardReason.ATTEMPT_TIMED_OUT;
                 case CANCELLED -> DiscardReason.ATTEMPT_CANCELLED;
                 default -> DiscardReason.ATTEMPT_ENDED;
-            });
+            };
         }
     }
 
@@ -414,7 +443,9 @@
             if (timeoutTimer != null) {
                 timeoutTimer.cancel(false);
             }
-            timeoutTimer = loop.schedule(this::timedOut, (long) Math.ceil(timeLeftMs() * 1000), TimeUnit.MICROSECONDS);
+            // The response may have arrived in time and not be read yet: the sockets are read once more before.
+            timeoutTimer = loop.schedule(() -> loop.schedule(this::timedOut, 0, TimeUnit.NANOSECONDS),
+                    (long) Math.ceil(timeLeftMs() * 1000), TimeUnit.MICROSECONDS);
         }
 
         private double timeLeftMs() {
@@ -426,6 +457,9 @@
         }
 
         private void timedOut() {
+            if (attemptsInFlight().isEmpty()) {
+                return;
+            }
             completeAll(fullyWritten ? Outcome.TIMED_OUT : Outcome.UNREACHABLE);
             abandonIfCompleted();
         }
--- a/src/main/java/kestreldeal/net/NoticeClient.java
+++ b/src/main/java/kestreldeal/net/NoticeClient.java
@@ -48,6 +48,7 @@
     private static final class PendingNotice {
         private final AcceptedMessage message;
         private int rejections;
+        private boolean sent;
 
         PendingNotice(AcceptedMessage message) {
             this.message = message;
@@ -66,6 +67,11 @@
         sendNext();
     }
 
+    /** Withdraws the notice of a message; returns false if it is, or may have been, sent already. */
+    boolean withdraw(AcceptedMessage message) {
+        return queue.removeIf(notice -> notice.message == message && !notice.sent);
+    }
+
     /** Number of notices that are not yet delivered. */
     int pendingCount() {
         return queue.size() + inFlight.size();
@@ -102,6 +108,7 @@
         } while (!alone && !queue.isEmpty() && queue.peek().rejections == 0
                 && body.size() + line.length <= MAX_BODY_BYTES);
         inFlight = batch;
+        batch.forEach(notice -> notice.sent = true);
         agent.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/reports",
                 Unpooled.wrappedBuffer(body.toByteArray())), RESPONSE_TIMEOUT_MS, new ReportResponse());
     }
--- a/src/main/java/kestreldeal/net/SendGuard.java
+++ b/src/main/java/kestreldeal/net/SendGuard.java
@@ -53,7 +53,7 @@
     /** Returns why an attempt that was started before must not be written now; empty if it may be. */
     Optional<SuppressionReason> suppressionReason(AcceptedMessage message, int attemptNumber, boolean endpointEligible,
             long nowNanos) {
-        if (message.finished) {
+        if (message.finished || message.isEndRead()) {
             return Optional.of(SuppressionReason.MESSAGE_OVER);
         }
         if (!endpointEligible) {
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -53,6 +53,8 @@
     private static final long OVERDUE_CHECK_INTERVAL_MS = 1000;
     /** How long a message must be past its deadline before it is reported. */
     private static final double OVERDUE_GRACE_MS = 1000;
+    /** Time in which the end of a message that was read is processed; longer than any turn. */
+    private static final double END_PROCESSING_MS = 2000;
     /**
      * How long an endpoint keeps its number after its removal from the list: longer than any call, so that late results
      * can still be attributed to it.
@@ -308,7 +310,7 @@
             if (messageClass < 0) {
                 Log.write("message class " + message.messageClass
                         + " is no longer configured; a restored message fails");
-                completeWithNotice(message, new AcceptedMessage.Notice(false, 0));
+                completeWithNotice(message, Metrics.Completion.FAILED, new AcceptedMessage.Notice(false, 0));
                 continue;
             }
             double nowMs = currentTurnTimeMs();
@@ -407,14 +409,17 @@
     public void send(long messageNumber, long endpoint, double timeoutMs) {
         AcceptedMessage message = pendingMessages.get(messageNumber);
         int attemptNumber = message.attempts.size();
+        if (isOver(message, Invariants.Rule.NOT_SENT_AFTER_END)) {
+            metrics.attemptSuppressed(SendGuard.SuppressionReason.MESSAGE_OVER);
+            endUnsent(message, attemptNumber, registry.id(endpoint));
+            return;
+        }
         Optional<Invariants.Rule> breach =
                 sendGuard.violatedRule(message, registry.findDestination(endpoint).orElse(-1));
         if (breach.isPresent()) {
             invariants.reportBreach(breach.get(), message.id,
                     "an attempt at " + registry.id(endpoint) + " was prevented");
-            message.attempts.add(AcceptedMessage.Attempt.neverSent(registry.id(endpoint), machineClock));
-            loop.execute(() -> processAttemptResult(message, attemptNumber, Relay.Outcome.NOT_SENT, false, 0,
-                    Relay.LoadReport.NONE, 0));
+            endUnsent(message, attemptNumber, registry.id(endpoint));
             return;
         }
         AcceptedMessage.Attempt attempt = AcceptedMessage.Attempt.startedAgo(registry.id(endpoint), 0, machineClock);
@@ -432,6 +437,12 @@
                         startNanos + (long) (turnTimeMs * 1e6)));
     }
 
+    private void endUnsent(AcceptedMessage message, int attemptNumber, String endpoint) {
+        message.attempts.add(AcceptedMessage.Attempt.neverSent(endpoint, machineClock));
+        loop.execute(() -> processAttemptResult(message, attemptNumber, Relay.Outcome.NOT_SENT, false, 0,
+                Relay.LoadReport.NONE, 0));
+    }
+
     @Override
     public void cancel(long messageNumber, int attempt) {
         EndpointClient.OutboundAttempt outboundAttempt = attemptsInFlight.get(new AttemptId(messageNumber, attempt));
@@ -449,14 +460,14 @@
 
     @Override
     public void reject(long messageNumber, double retryAfterMs) {
-        metrics.messageCompleted(pendingMessages.get(messageNumber).messageClass, Metrics.Completion.REJECTED);
-        completeWithNotice(pendingMessages.get(messageNumber), new AcceptedMessage.Notice(true, retryAfterMs));
+        completeWithNotice(pendingMessages.get(messageNumber), Metrics.Completion.REJECTED,
+                new AcceptedMessage.Notice(true, retryAfterMs));
     }
 
     @Override
     public void fail(long messageNumber) {
-        metrics.messageCompleted(pendingMessages.get(messageNumber).messageClass, Metrics.Completion.FAILED);
-        completeWithNotice(pendingMessages.get(messageNumber), new AcceptedMessage.Notice(false, 0));
+        completeWithNotice(pendingMessages.get(messageNumber), Metrics.Completion.FAILED,
+                new AcceptedMessage.Notice(false, 0));
     }
 
     @Override
@@ -483,14 +494,30 @@
         }
     }
 
-    private void completeWithNotice(AcceptedMessage message, AcceptedMessage.Notice notice) {
+    /**
+     * Whether the end of a message was read. It is processed in the same turn, in which the decision module may already
+     * have decided on an attempt or a notice; if that happens later, it is a breach of the rule.
+     */
+    private boolean isOver(AcceptedMessage message, Invariants.Rule rule) {
+        if (message.isEndRead() && message.endReadAgoMs() > END_PROCESSING_MS) {
+            invariants.reportBreach(rule, message.id, (long) message.endReadAgoMs() + " ms after its end was read");
+        }
+        return message.isEndRead();
+    }
+
+    private void completeWithNotice(AcceptedMessage message, Metrics.Completion completion,
+            AcceptedMessage.Notice notice) {
         if (message.finished) {
             invariants.reportBreach(Invariants.Rule.ONE_END, message.id, "a second final result: " + notice);
             return;
         }
-        if (message.endRead) {
-            invariants.reportBreach(Invariants.Rule.NOT_REPORTED_AFTER_END, message.id, "the notice: " + notice);
+        if (isOver(message, Invariants.Rule.NOT_REPORTED_AFTER_END)) {
+            finishMessage(message);
+            metrics.messageCompleted(message.messageClass, Metrics.Completion.COMPLETED);
+            journal.recordCompleted(message);
+            return;
         }
+        metrics.messageCompleted(message.messageClass, completion);
         trace.step(notice.rejected() ? "refused" : "failed", message.id, message.attempts.size());
         finishMessage(message);
         journal.recordNotice(message, notice);
@@ -515,6 +542,18 @@
                     durationMs);
         }
 
+        @Override
+        public void lateResultRead(EndpointClient.OutboundAttempt attempt, EndpointResult result) {
+            AcceptedMessage message = attempt.message;
+            if (!handedOver && message.finished) {
+                if (result.endsMessage() && noticeClient.withdraw(message)) {
+                    recordCompleted(message);
+                }
+            } else {
+                attemptCompleted(attempt, result.outcome(), result.messageExpired(), 0, Relay.LoadReport.NONE);
+            }
+        }
+
         @Override
         public void retryAfterReceived(long endpoint, double retryAfterMs) {
             if (handedOver) {
@@ -553,10 +592,6 @@
                             machineClock.nanos());
             reason.ifPresent(metrics::attemptSuppressed);
             trace.step(reason.map(r -> "heldback:" + r).orElse("write"), attempt.message.id, attempt.attemptNumber);
-            if (reason.isEmpty() && attempt.message.endRead) {
-                invariants.reportBreach(Invariants.Rule.NOT_SENT_AFTER_END, attempt.message.id,
-                        "attempt " + attempt.attemptNumber + " at " + registry.id(attempt.endpoint()));
-            }
             return reason.isEmpty();
         }
     }
@@ -902,7 +937,9 @@
 
         @Override
         public void predecessorAttemptCompleted(ProcessHandover.InFlightResult result) {
-            AcceptedMessage message = predecessorAttempts.remove(new AttemptId(result.message(), result.attempt()));
+            AcceptedMessage awaited = predecessorAttempts.remove(new AttemptId(result.message(), result.attempt()));
+            // A late result follows the one that was awaited.
+            AcceptedMessage message = awaited != null ? awaited : pendingMessages.get(result.message());
             if (message != null) {
                 processAttemptResult(message, result.attempt(), result.outcome(), result.gone(), result.waitMs(),
                         result.report(), result.tookMs());
--- a/src/test/java/kestreldeal/DeliverySchedulerTest.java
+++ b/src/test/java/kestreldeal/DeliverySchedulerTest.java
@@ -656,6 +656,44 @@
         }
     }
 
+    /** A message of a batch was cancelled for its slot, which its call went on to hold, and was sent again. */
+    @Test
+    void callIsCancelledForItsSlotAsAWhole() {
+        SchedulerHarness harness = new SchedulerHarness(2, 2).putEndpoint(10, 1, 1, 0, true).addEndpoints(2, 20)
+                .addEndpoints(3, 30);
+        harness.submitInOneTurn(3, SAFE, 1);
+        harness.submit(4, UNSAFE, 2);
+        harness.submit(5, SAFE, 3);
+        harness.runUntil(900);
+        harness.submit(6, SAFE, 3);
+        assertEquals(List.of("1/0", "2/0", "3/0"), harness.cancelledAttempts.stream().sorted().toList());
+    }
+
+    /** A message was sent again although the response to its timed-out attempt had said that it was delivered. */
+    @Test
+    void deliveryReadLateEndsTheMessage() {
+        SchedulerHarness harness = new SchedulerHarness().addEndpoints(1, 10);
+        harness.submit(1, KEYED, 1);
+        harness.complete(1, 0, Outcome.TIMED_OUT);
+        harness.complete(1, 0, Outcome.DELIVERED);
+        harness.runUntil(17_000);
+        assertEquals(List.of(1L), harness.sentMessages());
+        assertEquals(List.of(), harness.finalResults);
+    }
+
+    /** An attempt that timed out counted as one that may have run, though its response then said that it never ran. */
+    @Test
+    void refusalReadLateShowsThatTheAttemptNeverRan() {
+        SchedulerHarness harness = new SchedulerHarness().addEndpoints(1, 10);
+        harness.submit(1, KEYED, 1);
+        harness.runUntil(3690);
+        harness.complete(1, 0, Outcome.TIMED_OUT);
+        harness.complete(1, 0, Outcome.FULL);
+        harness.runUntil(5000);
+        assertEquals(List.of(1L, 1L), harness.sentMessages().stream().limit(2).toList());
+        assertEquals(List.of(), harness.finalResults);
+    }
+
     /** A silent endpoint counted as up, because its calls were cancelled for their slots before they were overdue. */
     @Test
     void callCancelledForItsSlotCountsAsUnanswered() {
--- a/src/test/java/kestreldeal/ReferenceScheduler.java
+++ b/src/test/java/kestreldeal/ReferenceScheduler.java
@@ -234,6 +234,10 @@
         }
         Attempt attempt = d.attempts.get(result.attempt());
         if (!attempt.inFlight) {
+            attempt.mayHaveRun = attempt.mayHaveRun && result.outcome().mayHaveRun();
+            if (result.messageFinished()) {
+                complete(d);
+            }
             return;
         }
         attempt.inFlight = false;
@@ -366,13 +370,18 @@
         if (!settings.cancellation()) {
             return;
         }
-        inFlightAttempts.stream().filter(a -> !a.cancelledForSlot && a.delivery.messageClass.repeat() != Repeat.UNSAFE)
-                .filter(a -> a.overdueRatio() > 1)
+        inFlightAttempts.stream().filter(a -> !a.cancelledForSlot && a.overdueRatio() > 1)
+                .filter(a -> inFlightAttempts.stream().noneMatch(other -> other.call.equals(a.call)
+                        && other.delivery.messageClass.repeat() == Repeat.UNSAFE))
                 .max(Comparator.comparingDouble(Attempt::overdueRatio)).ifPresent(slowest -> {
-                    slowest.cancelledForSlot = true;
                     slowest.endpoint.get().cancelledForSlots++;
                     slowest.call.ifPresent(Call::overdue);
-                    actions.cancel(slowest.delivery.message.id(), slowest.delivery.attempts.indexOf(slowest));
+                    for (Attempt attempt : List.copyOf(inFlightAttempts)) {
+                        if (attempt.call.equals(slowest.call)) {
+                            attempt.cancelledForSlot = true;
+                            actions.cancel(attempt.delivery.message.id(), attempt.delivery.attempts.indexOf(attempt));
+                        }
+                    }
                 });
     }
 
--- a/src/test/java/kestreldeal/net/EndpointClientTest.java
+++ b/src/test/java/kestreldeal/net/EndpointClientTest.java
@@ -43,6 +43,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final BlockingQueue<Result> results = new LinkedBlockingQueue<>();
+    private final BlockingQueue<EndpointResult> lateResults = new LinkedBlockingQueue<>();
     private final BlockingQueue<Double> reportedRates = new LinkedBlockingQueue<>();
     private final BlockingQueue<Double> retryAfterWaits = new LinkedBlockingQueue<>();
     private EndpointClient client;
@@ -69,6 +70,11 @@
             results.add(new Result(outcome, messageExpired, retryAfterMs));
         }
 
+        @Override
+        public void lateResultRead(EndpointClient.OutboundAttempt attempt, EndpointResult result) {
+            lateResults.add(result);
+        }
+
         @Override
         public void retryAfterReceived(long endpoint, double retryAfterMs) {
             if (endpoint == OTHER_ENDPOINT) {
@@ -794,6 +800,71 @@
         assertEquals(resultOf(Outcome.DELIVERED), nextResult());
     }
 
+    /** A message was sent again after the response to its cancelled attempt: one message can't be cancelled alone. */
+    @Test
+    void resultOfACancelledAttemptInABatchIsReportedLate() throws Exception {
+        CountDownLatch mayRespond = new CountDownLatch(1);
+        stub.setScript((request, socket) -> {
+            mayRespond.await();
+            batchResponse("", "a accepted\nb fault\nc deferred\n").handle(request, socket);
+        });
+        List<EndpointClient.OutboundAttempt> attempts = startTogether("a", "b", "c");
+        StubServer.await("the call is in flight", () -> stub.requests.size() == 1);
+        loop.submit(() -> client.cancel(attempts.get(0))).syncUninterruptibly();
+        loop.submit(() -> client.cancel(attempts.get(2))).syncUninterruptibly();
+        expectResults(resultOf(Outcome.CANCELLED), resultOf(Outcome.CANCELLED));
+        mayRespond.countDown();
+        assertEquals(resultOf(Outcome.ERROR), nextResult());
+        assertEquals(Outcome.DELIVERED, lateResults.poll(30, TimeUnit.SECONDS).outcome());
+        assertEquals(Outcome.FULL, lateResults.poll(30, TimeUnit.SECONDS).outcome());
+    }
+
+    /** As above, with a response that crosses the cancellation of the whole call. */
+    @Test
+    void deliveryThatCrossesTheCancellationIsReportedLate() throws Exception {
+        CountDownLatch mayRespond = new CountDownLatch(1);
+        CountDownLatch responseWritten = new CountDownLatch(1);
+        stub.setScript((request, socket) -> {
+            mayRespond.await();
+            StubServer.status(200, "").handle(request, socket);
+            responseWritten.countDown();
+        });
+        EndpointClient.OutboundAttempt attempt = start(new byte[1], LONG_TIMEOUT_MS);
+        StubServer.await("the call is in flight", () -> stub.requests.size() == 1);
+        loop.submit(() -> {
+            mayRespond.countDown();
+            responseWritten.await();
+            client.cancel(attempt);
+            return null;
+        }).sync();
+        assertEquals(resultOf(Outcome.CANCELLED), nextResult());
+        assertEquals(Outcome.DELIVERED, lateResults.poll(30, TimeUnit.SECONDS).outcome());
+    }
+
+    /** A delivered message was reported as failed: its response had arrived in time, but the event loop was delayed. */
+    @Test
+    void responseThatArrivedBeforeTheTimeoutIsReadBeforeItTimesOut() throws Exception {
+        CountDownLatch mayRespond = new CountDownLatch(1);
+        CountDownLatch responseWritten = new CountDownLatch(1);
+        stub.setScript((request, socket) -> {
+            mayRespond.await();
+            StubServer.status(200, "").handle(request, socket);
+            responseWritten.countDown();
+        });
+        long startNanos = System.nanoTime();
+        start(new byte[1], 1000);
+        StubServer.await("the call is in flight", () -> stub.requests.size() == 1);
+        loop.submit(() -> {
+            mayRespond.countDown();
+            responseWritten.await();
+            while (System.nanoTime() - startNanos < TimeUnit.MILLISECONDS.toNanos(1100)) {
+                Thread.onSpinWait();
+            }
+            return null;
+        }).sync();
+        assertEquals(resultOf(Outcome.DELIVERED), nextResult());
+    }
+
     /** After a restart a message was delivered twice: an attempt that was decided in time was written too late. */
     @Test
     void attemptThatIsNoLongerAllowedIsNotWritten() throws Exception {
