Don't count a response that the soak sends to a process that has exited as read

The ledger excepted a process that exits up to 500 ms after a response, not one that exits between a call and its response. It now compares the time of the exit with that of the call.

--- a/src/main/java/kestreldeal/scale/soak/Ledger.java
+++ b/src/main/java/kestreldeal/scale/soak/Ledger.java
@@ -240,15 +240,19 @@
         }
     }
 
-    /** An endpoint has sent the response that the message is delivered, whole as far as it concerns the message. */
-    void messageDelivered(Message message) {
+    /**
+     * An endpoint has sent the response that the message is delivered, whole as far as it concerns the message. The
+     * sender can't read it if the process that made the call has exited since.
+     */
+    void messageDelivered(Message message, double callReceivedAtMs) {
         if (message.isDelivered) {
             return;
         }
         deliveredCount++;
         message.isDelivered = true;
         message.deliveredAtMs = clock.nowMs();
-        message.endMayBeLost = senderStatuses[message.senderNumber].mayLoseEnds.getAsBoolean()
+        SenderStatus sender = senderStatuses[message.senderNumber];
+        message.endMayBeLost = sender.mayLoseEnds.getAsBoolean() || sender.exitedAtMs >= callReceivedAtMs
                 || clock.schedulingDelayMs() > MAX_DELAY_FOR_CLOSE_MS;
     }
 
--- a/src/main/java/kestreldeal/scale/soak/StubEndpoint.java
+++ b/src/main/java/kestreldeal/scale/soak/StubEndpoint.java
@@ -188,16 +188,17 @@
 
         private void processAndRespond(List<Ledger.Message> messages, boolean isBatch, boolean slow) {
             messages.forEach(ledger::messageProcessed);
+            double receivedAtMs = clock.nowMs();
             int processingMs = slow ? MIN_SLOW_PROCESSING_MS + random.nextInt(SLOW_PROCESSING_RANGE_MS)
                     : MIN_PROCESSING_MS + random.nextInt(PROCESSING_RANGE_MS);
             eventLoop.schedule(() -> {
                 if (connection.isActive() && state != State.HUNG) {
-                    respondDelivered(messages, isBatch);
+                    respondDelivered(messages, isBatch, receivedAtMs);
                 }
             }, processingMs, TimeUnit.MILLISECONDS);
         }
 
-        private void respondDelivered(List<Ledger.Message> messages, boolean isBatch) {
+        private void respondDelivered(List<Ledger.Message> messages, boolean isBatch, double receivedAtMs) {
             boolean malformed = isBatch && random.nextDouble() < MALFORMED_SHARE;
             List<String> lines = new ArrayList<>();
             if (isBatch) {
@@ -214,26 +215,28 @@
             pieces.addAll(lines);
             int deliveringPiece = isBatch ? pieces.size() : 1;
             if (random.nextDouble() < PIECEWISE_SHARE) {
-                writePieces(pieces, 0, deliveringPiece, malformed ? List.of() : messages);
+                writePieces(pieces, 0, deliveringPiece, malformed ? List.of() : messages, receivedAtMs);
             } else {
-                writePieces(List.of(String.join("", pieces)), 0, 1, malformed ? List.of() : messages);
+                writePieces(List.of(String.join("", pieces)), 0, 1, malformed ? List.of() : messages,
+                        receivedAtMs);
             }
         }
 
         /** Writes the pieces from this index on; the messages are delivered once that many pieces are written. */
-        private void writePieces(List<String> pieces, int index, int deliveringPiece, List<Ledger.Message> messages) {
+        private void writePieces(List<String> pieces, int index, int deliveringPiece, List<Ledger.Message> messages,
+                double receivedAtMs) {
             if (index == pieces.size() || !connection.isActive()) {
                 return;
             }
             StubHttpServer.writeRaw(connection, pieces.get(index)).addListener(written -> {
                 if (written.isSuccess() && index + 1 == deliveringPiece) {
-                    messages.forEach(ledger::messageDelivered);
+                    messages.forEach(message -> ledger.messageDelivered(message, receivedAtMs));
                     lastDelivered = messages;
                     lastDeliveredAtMs = clock.nowMs();
                 }
             });
             if (index + 1 < pieces.size()) {
-                eventLoop.schedule(() -> writePieces(pieces, index + 1, deliveringPiece, messages),
+                eventLoop.schedule(() -> writePieces(pieces, index + 1, deliveringPiece, messages, receivedAtMs),
                         random.nextInt(MAX_PIECE_DELAY_MS), TimeUnit.MILLISECONDS);
             }
         }
