Require a line for each message written in a batch, also for a cancelled one

An accepted payment has neither a delivery nor a notice.

Cause: a batch response is malformed, and so counts for none of its messages, if a line is missing. But the lines of attempts that had ended in the meantime were not asked for, so a response without the line of a cancelled message was believed for the others.

Fix: the call keeps the attempts that it wrote, and each needs its line. batchResponseWithoutTheLineOfACancelledMessageIsMalformed fails without it (DELIVERED for BROKEN).

--- a/src/main/java/kestreldeal/net/EndpointClient.java
+++ b/src/main/java/kestreldeal/net/EndpointClient.java
@@ -426,7 +426,8 @@
         private Connection connection;
         /** Whether it was written as a batch, that is, with more than one message. */
         private boolean isBatch;
-        private boolean writeStarted;
+        /** The attempts whose messages were written; the others had ended before. */
+        private List<OutboundAttempt> written = List.of();
         /** The last byte has been written: from here on the endpoint may have processed the messages. */
         private boolean fullyWritten;
         private LoadReport report = LoadReport.NONE;
@@ -535,9 +536,9 @@
                 return;
             }
             connection = target;
-            writeStarted = true;
+            written = attemptsInFlight();
             target.beginCall(this);
-            int messages = attemptsInFlight().size();
+            int messages = written.size();
             target.channel.writeAndFlush(request).addListener(f -> {
                 fullyWritten |= f.isSuccess();
                 if (f.isSuccess()) {
@@ -625,7 +626,7 @@
 
         /**
          * Completes the attempts by the body of a batch response, which has one line for each message. The whole
-         * response counts as malformed if a line can't be parsed or is missing.
+         * response counts as malformed if a line can't be parsed or is missing, be it that of a cancelled attempt.
          */
         private void batchResponseReceived(String body) {
             boolean malformed = false;
@@ -635,7 +636,7 @@
                 malformed |= !word.matches() || results.put(word.group(1),
                         EndpointResult.ofBatchWord(word.group(2), retryAfterMs)) != null;
             }
-            malformed |= attempts.stream().anyMatch(a -> !a.completed && !results.containsKey(a.message.id));
+            malformed |= written.stream().anyMatch(a -> !results.containsKey(a.message.id));
             if (malformed) {
                 Log.write("ignored the malformed response to a batch of " + attempts.size() + " messages");
                 attempts.stream().filter(a -> results.containsKey(a.message.id))
--- a/src/test/java/kestreldeal/net/EndpointClientTest.java
+++ b/src/test/java/kestreldeal/net/EndpointClientTest.java
@@ -819,6 +819,22 @@
         assertEquals(Outcome.FULL, lateResults.poll(30, TimeUnit.SECONDS).outcome());
     }
 
+    /** A message was lost: a batch response was believed although it had no line for another, cancelled message. */
+    @Test
+    void batchResponseWithoutTheLineOfACancelledMessageIsMalformed() throws Exception {
+        CountDownLatch mayRespond = new CountDownLatch(1);
+        stub.setScript((request, socket) -> {
+            mayRespond.await();
+            batchResponse("", "b accepted\n").handle(request, socket);
+        });
+        List<EndpointClient.OutboundAttempt> attempts = startTogether("a", "b");
+        StubServer.await("the call is in flight", () -> stub.requests.size() == 1);
+        loop.submit(() -> client.cancel(attempts.get(0))).syncUninterruptibly();
+        assertEquals(resultOf(Outcome.CANCELLED), nextResult());
+        mayRespond.countDown();
+        assertEquals(resultOf(Outcome.BROKEN), nextResult());
+    }
+
     /** As above, with a response that crosses the cancellation of the whole call. */
     @Test
     void deliveryThatCrossesTheCancellationIsReportedLate() throws Exception {
