Let the soak pass over a warning of Netty about a socket that can't be created

The trace of the line: the injected ENOBUFS met the start of a process, where Netty lists network interfaces to make up its machine id; it logs a warning with the exception and goes on. No sender code is concerned. Only that exception, behind that warning, is passed over.

--- a/src/main/java/kestreldeal/scale/soak/SoakRun.java
+++ b/src/main/java/kestreldeal/scale/soak/SoakRun.java
@@ -27,6 +27,7 @@
     private static final long TICK_INTERVAL_MS = 10;
     /** Time for which a scheduling delay of the event loop is added to time limits. */
     private static final long DELAY_HOLD_MS = 2000;
+    private static final String NETTY_INTERFACES_WARNING = "Failed to retrieve the list of available network interfaces";
     /** Mean time between two faults, per sender. */
     private static final double SECONDS_PER_SENDER_FAULT = 6;
 
@@ -155,8 +156,7 @@
     private Map<String, Object> summarize(boolean allChecked) throws Exception {
         for (SoakSender sender : senders) {
             long reportedBreaches = sender.metric("invariant_breaches_total");
-            List<String> faultLines = Files.readAllLines(sender.logFile()).stream().filter(SoakRun::reportsFault)
-                    .toList();
+            List<String> faultLines = faultLines(Files.readAllLines(sender.logFile()));
             if (reportedBreaches != 0 || !faultLines.isEmpty()) {
                 eventLoop.submit(() -> ledger.recordBreach(Ledger.Rule.REPORTED_BY_SENDER, sender.number, "-",
                         reportedBreaches + " breaches in its metric; lines of its log: "
@@ -178,6 +178,17 @@
         return summary;
     }
 
+    /** The lines that report a fault, less the exception of a warning that Netty logs if a socket can't be created. */
+    private static List<String> faultLines(List<String> log) {
+        List<String> faultLines = new ArrayList<>();
+        for (int i = 0; i < log.size(); i++) {
+            if (reportsFault(log.get(i)) && !(i > 0 && log.get(i - 1).endsWith(NETTY_INTERFACES_WARNING))) {
+                faultLines.add(log.get(i));
+            }
+        }
+        return faultLines;
+    }
+
     private static boolean reportsFault(String line) {
         return line.contains("fault in the module") || line.contains("invariant broken") || line.contains("Exception")
                 || line.contains("OutOfMemory");
