--- a/src/main/java/kestreldeal/net/EndpointClient.java
+++ b/src/main/java/kestreldeal/net/EndpointClient.java
@@ -192,9 +192,9 @@
 
     /**
      * Starts an attempt; its result is reported once. The attempts of a call time out together: at the last of their
-     * timeouts or, if there are several, before the budget of any of their messages may be used up. The timeout counts from the decision,
-     * not from this method call: after a long turn an attempt whose timeout ends at the deadline of its message would
-     * otherwise complete after the deadline, and the notice of the final result would be late.
+     * timeouts or, if there are several, before the budget of any of their messages may be used up. The timeout counts
+     * from the decision, not from this method call: after a long turn an attempt whose timeout ends at the deadline of
+     * its message would otherwise complete after the deadline, and the notice of the final result would be late.
      */
     OutboundAttempt startAttempt(AcceptedMessage message, int attemptNumber, long endpoint, double timeoutMs,
             long decidedNanos) {
--- a/src/main/java/kestreldeal/scale/soak/SoakClients.java
+++ b/src/main/java/kestreldeal/scale/soak/SoakClients.java
@@ -134,7 +134,7 @@
     void openIdleConnections(int count, long durationMs) {
         for (int i = 0; i < count; i++) {
             new Bootstrap().group(eventLoop).channel(NioSocketChannel.class)
-                    .handler(new ChannelInboundHandlerAdapter()).connect(senderAddress).addListener(connected -> {
+                    .handler(new IdleConnectionHandler()).connect(senderAddress).addListener(connected -> {
                         if (connected.isSuccess()) {
                             eventLoop.schedule(() -> ((ChannelFuture) connected).channel().close(), durationMs,
                                     TimeUnit.MILLISECONDS);
@@ -143,6 +143,14 @@
         }
     }
 
+    /** The sender may reset an idle connection. */
+    private static final class IdleConnectionHandler extends ChannelInboundHandlerAdapter {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
     private void connect(Submission submission) {
         new Bootstrap().group(eventLoop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, RESPONSE_TIMEOUT_MS)
