--- a/review/2/case.py
+++ b/review/2/case.py
@@ -180,4 +180,4 @@
     return 1 if lost else 0 if len(taken) == 3 * DESTINATIONS else 2
 
 
-run_case(FOLDER, play)
+run_case(os.path.join(FOLDER, "record.txt"), play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -60,4 +60,4 @@
     return 1 if foreign else 0
 
 
-run_case(FOLDER, play)
+run_case(os.path.join(FOLDER, "record.txt"), play)
--- a/review/standins.py
+++ b/review/standins.py
@@ -38,7 +38,7 @@
     """The lines of record.txt: seconds since the start, what happened, and to which message."""
 
     def __init__(self, path):
-        self.file = open(path, "w")
+        self.file = open(path, "a")
         self.start = now()
         self.lock = threading.Lock()
 
@@ -302,9 +302,12 @@
     return status, sent_at
 
 
-def run_case(folder, play):
-    """Runs a case: play(record, trouble) returns 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
-    record = Record(os.path.join(folder, "record.txt"))
+def run_case(record_file, play):
+    """
+    Runs a case: play(record, trouble) returns 1 if the rule was broken, 0 if it held, 2 if it couldn't run. What was
+    sent, answered and run is written to the record file.
+    """
+    record = Record(record_file)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     result = 2
 
