Bound the memory of unfinished requests, and refuse the largest with an answer

Cause: the bytes of unfinished requests stayed in the direct buffers that they were read into, without a limit for all connections together. Once the direct memory was used up, each read waited half a second in the JDK and failed, and the request timeout could not run.

Change: received bytes are copied to heap buffers of their exact size; all requests together may take a tenth of the heap, header fields counted and limited to 100; beyond that, complete requests are handled at once and the unfinished ones that hold the most are refused with 503. Bodies of responses are kept only where they mean something.

--- a/src/main/java/kestreldeal/net/AgentClient.java
+++ b/src/main/java/kestreldeal/net/AgentClient.java
@@ -132,7 +132,7 @@
         this.connector = new Connector(loop, CONNECT_TIMEOUT_MS, newChannel -> {
             newChannel.config().setOption(ChannelOption.RECVBUF_ALLOCATOR,
                     new FixedRecvByteBufAllocator(MAX_READ_BYTES).maxMessagesPerRead(1));
-            newChannel.pipeline().addLast(new HttpClientCodec(), new ResponseReader());
+            newChannel.pipeline().addLast(ReceivedBytesCopier.INSTANCE, new HttpClientCodec(), new ResponseReader());
         });
     }
 
--- a/src/main/java/kestreldeal/net/ClientServer.java
+++ b/src/main/java/kestreldeal/net/ClientServer.java
@@ -13,23 +13,17 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.CodecException;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -38,9 +32,8 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.Arrays;
-import java.util.Deque;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -91,6 +84,10 @@
     private static final long TIMEOUT_CHECK_INTERVAL_MS = 200;
     /** Maximum number of reads from one connection before other connections are served. */
     private static final int MAX_READS_PER_LOOP_ITERATION = 16;
+    /** Sizes of the buffer for one read, which adapts to what arrives. */
+    private static final int MIN_READ_BYTES = 256;
+    private static final int INITIAL_READ_BYTES = 2048;
+    private static final int MAX_READ_BYTES = 8 * 1024;
     /** Pause after a failed accept; it doubles with each further failure, up to the maximum. */
     private static final long MIN_ACCEPT_PAUSE_MS = 5;
     private static final long MAX_ACCEPT_PAUSE_MS = 160;
@@ -161,6 +158,7 @@
     private final SubmissionHandler handler;
     private final FileDescriptors fileDescriptors;
     private final ClientConnectionLimit connectionLimit;
+    private final RequestMemory requestMemory;
     /** The connections in each state, ordered by the time when they entered it. */
     private final Map<State, Set<ClientConnection>> connectionsByState = new EnumMap<>(State.class);
     private final ServerBootstrap bootstrap;
@@ -171,17 +169,20 @@
     /** Whether another process has taken over, or is about to. */
     private boolean handedOver;
 
-    ClientServer(EventLoop loop, int maxClientConnections, SubmissionHandler handler) {
-        this(loop, maxClientConnections, handler, NioServerSocketChannel::new, FileDescriptors.system());
+    /** Creates a server; unfinished requests of all its clients may take {@code maxRequestBytes} of memory. */
+    ClientServer(EventLoop loop, int maxClientConnections, long maxRequestBytes, SubmissionHandler handler) {
+        this(loop, maxClientConnections, maxRequestBytes, handler, NioServerSocketChannel::new,
+                FileDescriptors.system());
     }
 
     /** Creates a server with another factory for the listening channel; tests use one whose accepts fail. */
-    ClientServer(EventLoop loop, int maxClientConnections, SubmissionHandler handler,
+    ClientServer(EventLoop loop, int maxClientConnections, long maxRequestBytes, SubmissionHandler handler,
             ChannelFactory<NioServerSocketChannel> listenerFactory, FileDescriptors fileDescriptors) {
         this.loop = loop;
         this.fileDescriptors = fileDescriptors;
         this.handler = handler;
         this.connectionLimit = new ClientConnectionLimit(maxClientConnections);
+        this.requestMemory = new RequestMemory(maxRequestBytes);
         for (State state : State.values()) {
             connectionsByState.put(state, new LinkedHashSet<>());
         }
@@ -201,14 +202,15 @@
                 // Reads until the socket is empty, so that if a client disconnects right after a request, that is
                 // noticed before the request is handled.
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false)
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                                .respectMaybeMoreData(false)
                                 .maxMessagesPerRead(MAX_READS_PER_LOOP_ITERATION))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         ClientConnection connection = new ClientConnection(channel);
-                        channel.pipeline().addLast(connection.decoder, new HttpResponseEncoder(), new BodyLengthCheck(),
-                                new BodyAggregator(connection), connection);
+                        channel.pipeline().addLast(ReceivedBytesCopier.INSTANCE, connection.decoder,
+                                new HttpResponseEncoder(), connection.collector, connection);
                     }
                 });
         loop.scheduleWithFixedDelay(this::closeTimedOut, TIMEOUT_CHECK_INTERVAL_MS, TIMEOUT_CHECK_INTERVAL_MS,
@@ -235,7 +237,7 @@
      * it, or after a timeout.
      */
     void shutDown() {
-        connectionsByState.values().stream().flatMap(Set::stream).toList().forEach(ClientConnection::shutDown);
+        connections().toList().forEach(ClientConnection::shutDown);
     }
 
     /**
@@ -264,8 +266,12 @@
 
     /** For tests: the number of connections on which a part of a request has arrived. */
     long partialRequestCount() {
-        return connectionsByState.values().stream().flatMap(Set::stream)
-                .filter(connection -> connection.requestStarted).count();
+        return connections().filter(connection -> connection.requestStarted).count();
+    }
+
+    /** For tests: the memory that requests take until they are handled. */
+    long requestMemoryBytes() {
+        return requestMemory.heldBytes();
     }
 
     /** The number of open client connections. */
@@ -295,6 +301,31 @@
                 .flatMap(e -> e.getValue().stream());
     }
 
+    /**
+     * Frees memory if the requests of all connections hold too much: complete requests are handled at once, and then the
+     * incomplete ones that hold the most are refused. A request that holds less than its share of the limit, divided by
+     * the number of connections, is never refused.
+     */
+    private void limitRequestMemory() {
+        if (requestMemory.isExceeded()) {
+            connections().filter(c -> c.waitingRequest != null).toList()
+                    .forEach(ClientConnection::handleWaitingRequest);
+        }
+        while (requestMemory.isExceeded()) {
+            Optional<ClientConnection> largest = connections()
+                    .filter(c -> c.state != State.CLOSING && c.countedBytes > 0)
+                    .max(Comparator.comparingLong(c -> c.countedBytes));
+            if (largest.isEmpty()) {
+                return;
+            }
+            largest.get().refuseForMemory();
+        }
+    }
+
+    private Stream<ClientConnection> connections() {
+        return connectionsByState.values().stream().flatMap(Set::stream);
+    }
+
     /** Handles failures to accept a connection. */
     private final class AcceptFailureHandler extends ChannelInboundHandlerAdapter {
         private long pauseMs = MIN_ACCEPT_PAUSE_MS;
@@ -358,6 +389,8 @@
         IDLE,
         /** The response to its last request is being written. */
         LAST_ANSWER,
+        /** The unfinished requests of all clients took too much memory, and this one took the most. */
+        NO_MEMORY,
         /** This process is stopping. */
         SHUTDOWN,
         /** The client did not close it in time after the half-close. */
@@ -376,131 +409,26 @@
         IN_REQUEST
     }
 
-    /**
-     * Netty's request decoder, extended to report first bytes and to decode one request at a time. Bytes after a
-     * complete request are decoded only once that request is handled, and only a limited number is buffered: otherwise
-     * a client that sends many requests at once would delay all others.
-     */
-    private static final class SequentialRequestDecoder extends HttpRequestDecoder {
-        private final ClientConnection connection;
-        private final Deque<ByteBuf> backlog = new ArrayDeque<>();
-        private int backlogBytes;
-        /** Whether the decoder needs more bytes than it has been given so far. */
-        private boolean needsInput = true;
-
-        SequentialRequestDecoder(ClientConnection connection) {
-            this.connection = connection;
-            setSingleDecode(true);
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object data) throws Exception {
-            ByteBuf bytes = (ByteBuf) data;
-            if (connection.state == State.CLOSING) {
-                connection.discard(bytes);
-                return;
-            }
-            connection.bytesReceived();
-            backlog.add(bytes);
-            backlogBytes += bytes.readableBytes();
-            decodeNext(ctx);
-        }
-
-        /** Decodes up to the next complete request, unless the one before is still to be handled. */
-        private void decodeNext(ChannelHandlerContext ctx) throws Exception {
-            while (connection.canDecodeNext() && !(needsInput && backlog.isEmpty())) {
-                ByteBuf input = needsInput ? backlog.remove() : Unpooled.EMPTY_BUFFER;
-                backlogBytes -= input.readableBytes();
-                int bytesBefore = actualReadableBytes() + input.readableBytes();
-                super.channelRead(ctx, input);
-                needsInput = actualReadableBytes() == 0 || actualReadableBytes() == bytesBefore;
-            }
-            connection.updateAutoRead();
-        }
-
-        /** Resumes decoding after a request was handled, but only after other pending events have been processed. */
-        void decodeNextLater() {
-            ChannelHandlerContext ctx = connection.channel.pipeline().context(this);
-            if (ctx == null || !hasMoreInput()) {
-                return;
-            }
-            // Scheduled, since a task added by execute() may run before the event loop handles I/O again.
-            ctx.channel().eventLoop().schedule(() -> {
-                try {
-                    decodeNext(ctx);
-                } catch (Exception e) {
-                    ctx.fireExceptionCaught(e);
-                }
-            }, 0, TimeUnit.NANOSECONDS);
-        }
-
-        @Override
-        protected void handlerRemoved0(ChannelHandlerContext ctx) {
-            backlog.forEach(ByteBuf::release);
-            backlog.clear();
-        }
-
-        /** Leaves a chunked request with a Content-Length unchanged, because {@link BodyLengthCheck} rejects it. */
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-        }
-
-        boolean hasMoreInput() {
-            return actualReadableBytes() > 0 || !backlog.isEmpty();
-        }
-    }
-
-    /**
-     * Rejects requests whose body length is ambiguous or undefined, to prevent request smuggling: what one server takes
-     * for the body may be another request to the next server.
-     */
-    private static final class BodyLengthCheck extends ChannelInboundHandlerAdapter {
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) {
-            if (message instanceof HttpRequest request) {
-                List<String> transferEncodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-                boolean unambiguous = transferEncodings.isEmpty() || transferEncodings.size() == 1
-                        && transferEncodings.get(0).equalsIgnoreCase(HttpHeaderValues.CHUNKED.toString())
-                        && request.protocolVersion().equals(HttpVersion.HTTP_1_1)
-                        && !request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-                if (!unambiguous && request.decoderResult().isSuccess()) {
-                    request.setDecoderResult(
-                            DecoderResult.failure(new InvalidInputException("the body length is ambiguous")));
-                }
-            }
-            ctx.fireChannelRead(message);
-        }
-    }
-
-    /** Collects request bodies; a body over the limit is answered with 413, and the rest of it is not read. */
-    private static final class BodyAggregator extends HttpObjectAggregator {
-        private final ClientConnection connection;
-
-        BodyAggregator(ClientConnection connection) {
-            super(MAX_BODY_BYTES);
-            this.connection = connection;
-        }
-
-        @Override
-        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-            connection.respondAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 64 KiB");
-        }
-    }
-
     /** One client connection. */
-    private final class ClientConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final class ClientConnection extends ChannelInboundHandlerAdapter
+            implements SequentialRequestDecoder.Connection, RequestCollector.Connection {
         private final Channel channel;
         private final SequentialRequestDecoder decoder = new SequentialRequestDecoder(this);
+        private final RequestCollector collector = new RequestCollector(this, MAX_BODY_BYTES);
         private State state = State.NEW;
         /** When the connection entered its state, by {@link System#nanoTime}. */
         private long stateEnteredNanos = System.nanoTime();
         /** Whether the first bytes of the next request have arrived. */
         private boolean requestStarted;
         /**
-         * Complete requests that wait for {@link #handleRequest}. A request that waits for the answer of the successor
-         * is not among them.
+         * The complete request that waits for {@link #handleRequest}, or null. A request that waits for the answer of
+         * the successor is not kept here.
          */
-        private int queuedRequests;
+        private FullHttpRequest waitingRequest;
+        /** Whether the connection has ended, which frees its buffers. */
+        private boolean ended;
+        /** The memory that this connection counts for in {@link #requestMemory}. */
+        private long countedBytes;
         /** Bytes that arrived while the connection was being closed. */
         private int discardedBytes;
 
@@ -532,6 +460,8 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connectionsByState.get(state).remove(this);
+            ended = true;
+            countMemory();
         }
 
         private void enterState(State next) {
@@ -540,10 +470,21 @@
             }
             state = next;
             stateEnteredNanos = System.nanoTime();
+            if (next == State.CLOSING) {
+                collector.drop();
+                decoder.dropInput();
+                countMemory();
+            }
+        }
+
+        @Override
+        public boolean isClosing() {
+            return state == State.CLOSING;
         }
 
         /** Bytes have arrived; the timeout of a request starts with its first byte. */
-        private void bytesReceived() {
+        @Override
+        public void bytesReceived() {
             requestStarted = true;
             if (state == State.IDLE) {
                 enterState(State.IN_REQUEST);
@@ -566,7 +507,7 @@
 
         private void reportClose(CloseReason reason) {
             handler.connectionClosing(reason);
-            if (queuedRequests > 0 && state != State.CLOSING) {
+            if (waitingRequest != null && state != State.CLOSING) {
                 handler.requestLeftUnanswered(reason);
             }
         }
@@ -576,7 +517,7 @@
                 return;
             }
             handler.connectionClosing(CloseReason.SHUTDOWN);
-            if (requestStarted || queuedRequests > 0) {
+            if (requestStarted || waitingRequest != null) {
                 respondAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, "the sender ends");
             } else {
                 halfClose();
@@ -594,43 +535,82 @@
             ((DuplexChannel) channel).shutdownOutput();
         }
 
-        private void discard(ByteBuf bytes) {
+        @Override
+        public void refuse(HttpResponseStatus status, String text) {
+            respondAndClose(status, text);
+        }
+
+        /** Refuses the request that is being received, to free the memory that it takes. */
+        private void refuseForMemory() {
+            reportClose(CloseReason.NO_MEMORY);
+            respondAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many unfinished requests");
+        }
+
+        private long heldBytes() {
+            long waitingBytes = waitingRequest == null ? 0 : waitingRequest.content().capacity();
+            return ended ? waitingBytes : waitingBytes + decoder.heldBytes() + collector.heldBytes();
+        }
+
+        /** Updates what this connection counts for in the memory of all requests. */
+        private void countMemory() {
+            long nowHeld = heldBytes();
+            requestMemory.change(nowHeld - countedBytes);
+            countedBytes = nowHeld;
+        }
+
+        @Override
+        public void inputChanged() {
+            countMemory();
+            limitRequestMemory();
+            updateAutoRead();
+        }
+
+        @Override
+        public void discard(ByteBuf bytes) {
             discardedBytes += bytes.readableBytes();
             bytes.release();
             updateAutoRead();
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            if (state == State.CLOSING) {
-                // What follows the last request may be a part of its body, so it is not taken for a request.
-                return;
-            }
+        public void requestComplete(FullHttpRequest request) {
             requestStarted = decoder.hasMoreInput();
             // In this state the connection is not closed to make room for others before the answer.
             enterState(State.IN_REQUEST);
-            queuedRequests++;
-            request.retain();
+            waitingRequest = request;
             // Deferred until all input at hand has been read: see handleRequest.
-            loop.execute(() -> {
-                queuedRequests--;
-                try {
-                    handleRequest(request);
-                } finally {
-                    request.release();
-                    decoder.decodeNextLater();
-                }
-            });
+            loop.execute(this::handleWaitingRequest);
+        }
+
+        /** Handles the complete request, unless it has been handled already to free its memory. */
+        private void handleWaitingRequest() {
+            if (waitingRequest == null) {
+                return;
+            }
+            FullHttpRequest request = waitingRequest;
+            waitingRequest = null;
+            try {
+                handleRequest(request);
+            } finally {
+                request.release();
+                decoder.requestHandled();
+                countMemory();
+                decoder.decodeNextLater();
+            }
         }
 
-        private boolean canDecodeNext() {
-            return queuedRequests == 0 && state != State.CLOSING;
+        @Override
+        public boolean canDecodeNext() {
+            return waitingRequest == null && state != State.CLOSING;
         }
 
-        /** Applies backpressure: stops reading if the client does not read its responses or sends too far ahead. */
+        /**
+         * Applies backpressure: stops reading if the client does not read its responses, or has sent more while a
+         * request of it waits.
+         */
         private void updateAutoRead() {
             boolean reads = state == State.CLOSING ? discardedBytes < MAX_DISCARDED_BYTES
-                    : channel.isWritable() && decoder.backlogBytes <= MAX_BODY_BYTES;
+                    : channel.isWritable() && !(waitingRequest != null && decoder.hasMoreInput());
             channel.config().setAutoRead(reads);
         }
 
--- a/src/main/java/kestreldeal/net/EndpointClient.java
+++ b/src/main/java/kestreldeal/net/EndpointClient.java
@@ -157,8 +157,8 @@
         this.maxIdleConnections = maxIdleConnections;
         this.connector = new Connector(loop, connectTimeoutMs, channel -> {
             Connection connection = new Connection(channel);
-            channel.pipeline().addLast(new ResponseHeadReader(connection), connection.decoder, new HttpRequestEncoder(),
-                    connection);
+            channel.pipeline().addLast(ReceivedBytesCopier.INSTANCE, new ResponseHeadReader(connection),
+                    connection.decoder, new HttpRequestEncoder(), connection);
         }, channelFactory);
         loop.scheduleWithFixedDelay(this::closeExpiredConnections, IDLE_SWEEP_INTERVAL_MS, IDLE_SWEEP_INTERVAL_MS,
                 TimeUnit.MILLISECONDS);
@@ -610,9 +610,14 @@
             completeAll(Outcome.BROKEN);
         }
 
+        /** Whether the body of this response has a meaning: only that to a batch has results. */
+        private boolean readsBody(HttpResponse response) {
+            return isBatch && response.status().code() == 200;
+        }
+
         private void responseReceived(HttpResponse response, String body) {
             int statusCode = response.status().code();
-            if (isBatch && statusCode == 200) {
+            if (readsBody(response)) {
                 batchResponseReceived(body);
             } else if (isBatch && (statusCode == 400 || statusCode == 413)) {
                 // The endpoint could not parse the batch, or it was too large: no message was processed.
@@ -791,7 +796,9 @@
         private boolean headRead;
         /** Its call was abandoned: it is not reused. */
         private boolean abandoned;
-        private final StringBuilder body = new StringBuilder();
+        private int bodyBytes;
+        /** The body, if the call reads it; else empty. */
+        private StringBuilder body = new StringBuilder(0);
         private Future<?> responseTimer;
         /** It has neither carried a call nor been idle yet. */
         private boolean fresh = true;
@@ -817,7 +824,7 @@
             head = null;
             statusLineRead = false;
             headRead = false;
-            body.setLength(0);
+            bodyBytes = 0;
             responseTimer = null;
         }
 
@@ -878,6 +885,7 @@
                 responseTimer.cancel(false);
             }
             call = null;
+            body = new StringBuilder(0);
             idleSinceNanos = System.nanoTime();
         }
 
@@ -896,11 +904,14 @@
                 }
             }
             if (part instanceof HttpContent content) {
-                body.append(content.content().toString(StandardCharsets.ISO_8859_1));
-                if (body.length() > MAX_BODY_BYTES) {
+                bodyBytes += content.content().readableBytes();
+                if (bodyBytes > MAX_BODY_BYTES) {
                     failMalformed();
                     return;
                 }
+                if (call.readsBody(head)) {
+                    body.append(content.content().toString(StandardCharsets.ISO_8859_1));
+                }
             }
             if (part instanceof LastHttpContent && head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
                 call.responseReceived(head, body.toString());
--- a/src/main/java/kestreldeal/net/OperatorServer.java
+++ b/src/main/java/kestreldeal/net/OperatorServer.java
@@ -67,7 +67,8 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new LineBasedFrameDecoder(MAX_COMMAND_LENGTH, true, true),
+                        channel.pipeline().addLast(ReceivedBytesCopier.INSTANCE,
+                                new LineBasedFrameDecoder(MAX_COMMAND_LENGTH, true, true),
                                 new StringDecoder(StandardCharsets.US_ASCII), new OperatorConnection());
                     }
                 });
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -63,6 +63,8 @@
 
     /** Share of the heap for listed endpoints; the rest is for messages, buffers and reading the journal. */
     private static final double ENDPOINT_HEAP_SHARE = 0.6;
+    /** Share of the heap for clients' requests that have not been handled yet. */
+    private static final double REQUEST_HEAP_SHARE = 0.1;
     /**
      * Heap that one listed endpoint takes in all parts of the sender, at 1.6 endpoints per destination: up to 1,157
      * bytes, rounded up.
@@ -210,7 +212,8 @@
                 maxIdleConnections, new AttemptResults(), NioSocketChannel::new, machineClock);
         agentAddress = config.agentAddress();
         noticeClient = new NoticeClient(loop, new AgentClient(loop, agentAddress), this::recordCompleted);
-        clientServer = new ClientServer(loop, maxClientConnections, submissionService);
+        clientServer = new ClientServer(loop, maxClientConnections,
+                (long) (Runtime.getRuntime().maxMemory() * REQUEST_HEAP_SHARE), submissionService);
         operatorServer = new OperatorServer(loop, new OperatorCommands());
         discovery = new Discovery(loop, new AgentClient(loop, agentAddress), new EndpointListUpdates());
         handover = new ProcessHandover(loop, config.stateFolder(), handoverAllowed, new HandoverEvents());
--- a/src/test/java/kestreldeal/net/AcceptFailureTest.java
+++ b/src/test/java/kestreldeal/net/AcceptFailureTest.java
@@ -47,7 +47,7 @@
 
     @BeforeEach
     void open() {
-        ClientServer server = new ClientServer(group.next(), MAX_CLIENTS, new ReadySubmissionHandler(),
+        ClientServer server = new ClientServer(group.next(), MAX_CLIENTS, 1 << 20, new ReadySubmissionHandler(),
                 FailingListener::new, () -> descriptorsAvailable);
         address = (InetSocketAddress) server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                 .syncUninterruptibly().channel().localAddress();
--- a/src/test/java/kestreldeal/net/ClientServerTest.java
+++ b/src/test/java/kestreldeal/net/ClientServerTest.java
@@ -12,8 +12,10 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +24,7 @@
 /** Tests the client server without a sender: connection limit, fairness between clients, and shutdown. */
 class ClientServerTest {
     private static final int MAX_CLIENTS = 10;
+    private static final long MAX_REQUEST_BYTES = 1 << 20;
 
     /** Knows every class and destination, rejects every submission, and records the ids submitted. */
     private static final class RecordingHandler extends ReadySubmissionHandler {
@@ -73,7 +76,7 @@
         try {
             EventLoop loop = group.next();
             RecordingHandler handler = new RecordingHandler();
-            ClientServer server = new ClientServer(loop, MAX_CLIENTS, handler);
+            ClientServer server = new ClientServer(loop, MAX_CLIENTS, MAX_REQUEST_BYTES, handler);
             InetSocketAddress address = listen(server);
             CountDownLatch releaseLoop = new CountDownLatch(1);
             blockLoop(loop, releaseLoop);
@@ -118,7 +121,7 @@
         List<Socket> sockets = new ArrayList<>();
         try {
             EventLoop loop = group.next();
-            ClientServer server = new ClientServer(loop, MAX_CLIENTS, new ReadySubmissionHandler());
+            ClientServer server = new ClientServer(loop, MAX_CLIENTS, MAX_REQUEST_BYTES, new ReadySubmissionHandler());
             InetSocketAddress address = listen(server);
             CountDownLatch releaseLoop = new CountDownLatch(1);
             blockLoop(loop, releaseLoop);
@@ -144,7 +147,7 @@
     void connectionWithAPartialRequestIsNotClosedForANewClient() throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try (Socket first = new Socket(); Socket second = new Socket(); Socket newClient = new Socket()) {
-            InetSocketAddress address = listen(new ClientServer(group.next(), 2, new ReadySubmissionHandler()));
+            InetSocketAddress address = listen(new ClientServer(group.next(), 2, MAX_REQUEST_BYTES, new ReadySubmissionHandler()));
             for (Socket client : List.of(first, second)) {
                 client.connect(address);
                 // The partial request is read together with the one before it, so it is known once that is answered.
@@ -166,7 +169,7 @@
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try (Socket slow = new Socket(); Socket newClient = new Socket()) {
             EventLoop loop = group.next();
-            ClientServer server = new ClientServer(loop, 1, new ReadySubmissionHandler());
+            ClientServer server = new ClientServer(loop, 1, MAX_REQUEST_BYTES, new ReadySubmissionHandler());
             InetSocketAddress address = listen(server);
             slow.connect(address);
             StubServer.write(slow, HEALTH.substring(0, 10));
@@ -188,7 +191,7 @@
         try (Socket flood = new Socket(); Socket other = new Socket()) {
             EventLoop loop = group.next();
             RecordingHandler handler = new RecordingHandler();
-            ClientServer server = new ClientServer(loop, MAX_CLIENTS, handler);
+            ClientServer server = new ClientServer(loop, MAX_CLIENTS, MAX_REQUEST_BYTES, handler);
             InetSocketAddress address = listen(server);
             flood.connect(address);
             other.connect(address);
@@ -256,7 +259,7 @@
         try (Socket idle = new Socket()) {
             EventLoop loop = group.next();
             RecordingHandler handler = new RecordingHandler();
-            ClientServer server = new ClientServer(loop, MAX_CLIENTS, handler);
+            ClientServer server = new ClientServer(loop, MAX_CLIENTS, MAX_REQUEST_BYTES, handler);
             idle.connect(listen(server));
             assertEquals("HTTP/1.1 200 OK", exchange(idle, HEALTH).line());
             CountDownLatch releaseLoop = new CountDownLatch(1);
@@ -288,7 +291,7 @@
         try (Socket client = new Socket(); Socket other = new Socket()) {
             EventLoop loop = group.next();
             RecordingHandler handler = new RecordingHandler();
-            ClientServer server = new ClientServer(loop, MAX_CLIENTS, handler);
+            ClientServer server = new ClientServer(loop, MAX_CLIENTS, MAX_REQUEST_BYTES, handler);
             InetSocketAddress address = listen(server);
             client.connect(address);
             other.connect(address);
@@ -317,7 +320,7 @@
         try (Socket first = new Socket(); Socket second = new Socket()) {
             EventLoop loop = group.next();
             RecordingHandler handler = new RecordingHandler();
-            ClientServer server = new ClientServer(loop, MAX_CLIENTS, handler);
+            ClientServer server = new ClientServer(loop, MAX_CLIENTS, MAX_REQUEST_BYTES, handler);
             InetSocketAddress address = listen(server);
             for (Socket socket : List.of(first, second)) {
                 socket.connect(address);
@@ -341,4 +344,88 @@
             group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
         }
     }
+
+    /** Clients that stop in the middle of their bodies used up the memory that all reads need. */
+    @Test
+    void unfinishedBodiesStayWithinTheMemoryLimitAndTheirClientsAreAnswered() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        List<Socket> stopped = new ArrayList<>();
+        try (Socket small = new Socket()) {
+            EventLoop loop = group.next();
+            int clients = 40;
+            ClientServer server = new ClientServer(loop, clients + 1, MAX_REQUEST_BYTES, new ReadySubmissionHandler());
+            InetSocketAddress address = listen(server);
+            small.connect(address);
+            StubServer.write(small, HEALTH.substring(0, 10));
+            for (int i = 0; i < clients; i++) {
+                stopped.add(new Socket(address.getAddress(), address.getPort()));
+                StubServer.write(stopped.get(i), "POST /order HTTP/1.1\r\nContent-Length: 65536\r\n\r\n"
+                        + "x".repeat(60_000));
+                long heldBytes = loop.submit(server::requestMemoryBytes).get();
+                assertTrue(heldBytes <= MAX_REQUEST_BYTES, "bytes held: " + heldBytes);
+            }
+            assertEquals("HTTP/1.1 200 OK", exchange(small, HEALTH.substring(10)).line(),
+                    "a request that holds less than its share is not refused");
+            Set<String> answers = new HashSet<>();
+            for (Socket socket : stopped) {
+                answers.add(StubServer.read(new BufferedInputStream(socket.getInputStream()), 0).line());
+            }
+            assertEquals(Set.of("HTTP/1.1 503 Service Unavailable", "HTTP/1.1 408 Request Timeout"), answers);
+            StubServer.await("all memory is free",
+                    () -> loop.submit(server::requestMemoryBytes).syncUninterruptibly().getNow() < 1000);
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+            for (Socket socket : stopped) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Complete requests that arrive together count as well: they are handled sooner, and none is refused. */
+    @Test
+    void completeRequestsBeyondTheMemoryLimitAreAllHandled() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        List<Socket> sockets = new ArrayList<>();
+        try {
+            EventLoop loop = group.next();
+            ClientServer server = new ClientServer(loop, MAX_CLIENTS, 100_000, new ReadySubmissionHandler());
+            InetSocketAddress address = listen(server);
+            CountDownLatch releaseLoop = new CountDownLatch(1);
+            blockLoop(loop, releaseLoop);
+            for (int i = 0; i < MAX_CLIENTS; i++) {
+                sockets.add(new Socket(address.getAddress(), address.getPort()));
+                StubServer.write(sockets.get(i), "GET /healthz HTTP/1.1\r\nContent-Length: 50000\r\n\r\n"
+                        + "x".repeat(50_000));
+            }
+            releaseLoop.countDown();
+            for (Socket socket : sockets) {
+                assertEquals("HTTP/1.1 200 OK",
+                        StubServer.read(new BufferedInputStream(socket.getInputStream()), 0).line());
+            }
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Short header fields take far more memory than their bytes, so their number is limited. */
+    @Test
+    void requestWithTooManyHeaderFieldsIsRejected() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (Socket few = new Socket(); Socket many = new Socket()) {
+            InetSocketAddress address = listen(
+                    new ClientServer(group.next(), MAX_CLIENTS, MAX_REQUEST_BYTES, new ReadySubmissionHandler()));
+            few.connect(address);
+            many.connect(address);
+            String field = "a:b\r\n";
+            String head = "GET /healthz HTTP/1.1\r\n";
+            int max = SequentialRequestDecoder.MAX_HEADER_FIELDS;
+            assertEquals("HTTP/1.1 200 OK", exchange(few, head + field.repeat(max) + "\r\n").line());
+            assertEquals("HTTP/1.1 400 Bad Request", exchange(many, head + field.repeat(max + 1) + "\r\n").line());
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        }
+    }
 }
--- a/src/test/java/kestreldeal/net/SenderTestEnvironment.java
+++ b/src/test/java/kestreldeal/net/SenderTestEnvironment.java
@@ -120,11 +120,13 @@
     }
 
     /** Starts the program as a process with a limit on file descriptors; its output goes to the log file. */
-    Process startProcess(int descriptorLimit) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder("sh", "-c",
+    Process startProcess(int descriptorLimit, String... jvmOptions) throws IOException {
+        List<String> command = new ArrayList<>(List.of("sh", "-c",
                 "ulimit -n " + descriptorLimit + " && exec \"$0\" \"$@\"",
-                Path.of(System.getProperty("java.home"), "bin/java").toString(), "-cp",
-                System.getProperty("java.class.path"), "kestreldeal.Main", "serve", "--alone");
+                Path.of(System.getProperty("java.home"), "bin/java").toString()));
+        command.addAll(List.of(jvmOptions));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "kestreldeal.Main", "serve", "--alone"));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().putAll(environment());
         return builder.redirectErrorStream(true).redirectOutput(logFile().toFile()).start();
     }
