Apply a response only to the messages that were written in its call

Cause: an attempt that is held back just before its call is written stayed among the call's attempts, and the response to the message that was written was applied to all of them. As results that are read late count, its 200 replaced the held-back attempt's NOT_SENT, and the message was recorded as delivered. The same held for 410, and for a line of a batch response that names such a message.

Change: a response has results for the attempts that were written only.

--- a/src/main/java/kestreldeal/net/EndpointClient.java
+++ b/src/main/java/kestreldeal/net/EndpointClient.java
@@ -426,7 +426,9 @@
         private Connection connection;
         /** Whether it was written as a batch, that is, with more than one message. */
         private boolean isBatch;
-        /** The attempts whose messages were written; the others had ended before. */
+        /**
+         * The attempts whose messages were written; the others had ended before. A response has results for these only.
+         */
         private List<OutboundAttempt> written = List.of();
         /** The last byte has been written: from here on the endpoint may have processed the messages. */
         private boolean fullyWritten;
@@ -601,7 +603,7 @@
         /** Status 200 completes a single attempt at once, whatever follows; a batch needs the whole response. */
         private void statusCodeReceived(int statusCode) {
             if (statusCode == 200 && !isBatch) {
-                attempts.forEach(a -> a.complete(EndpointResult.ofStatus(statusCode, 0, false)));
+                written.forEach(a -> a.complete(EndpointResult.ofStatus(statusCode, 0, false)));
             }
         }
 
@@ -625,7 +627,7 @@
             } else if (statusCode != 200) {
                 EndpointResult result = EndpointResult.ofStatus(statusCode, retryAfterMs,
                         response.headers().contains("X-No-Slot"));
-                attempts.forEach(a -> a.complete(result));
+                written.forEach(a -> a.complete(result));
             }
         }
 
@@ -643,13 +645,13 @@
             }
             malformed |= written.stream().anyMatch(a -> !results.containsKey(a.message.id));
             if (malformed) {
-                Log.write("ignored the malformed response to a batch of " + attempts.size() + " messages");
-                attempts.stream().filter(a -> results.containsKey(a.message.id))
+                Log.write("ignored the malformed response to a batch of " + written.size() + " messages");
+                written.stream().filter(a -> results.containsKey(a.message.id))
                         .forEach(a -> a.discard(results.get(a.message.id), DiscardReason.MALFORMED_RESPONSE));
                 responseMalformed();
                 return;
             }
-            attempts.stream().filter(a -> results.containsKey(a.message.id))
+            written.stream().filter(a -> results.containsKey(a.message.id))
                     .forEach(a -> a.complete(results.get(a.message.id)));
         }
     }
--- a/src/test/java/kestreldeal/net/EndpointClientTest.java
+++ b/src/test/java/kestreldeal/net/EndpointClientTest.java
@@ -893,6 +893,25 @@
         assertEquals(List.of("b"), stub.requests.stream().map(m -> m.header("X-Call-Id")).toList());
     }
 
+    /** A message was taken for delivered, and lost, by the response to the other message of a call. */
+    @Test
+    void responseSaysNothingAboutAMessageThatWasNotWritten() throws Exception {
+        suppressedId = "a";
+        for (int status : List.of(200, 410, 429, 503, 504)) {
+            stub.setScript(StubServer.status(status, ""));
+            startTogether("a", "b");
+            assertEquals(resultOf(Outcome.NOT_SENT), nextResult());
+            assertTrue(nextResult() != null);
+            awaitLoopPasses();
+            assertEquals(List.of(), List.copyOf(lateResults), "status " + status);
+        }
+        stub.setScript(batchResponse("", "a accepted\r\nb accepted\r\nc accepted\r\n"));
+        startTogether("a", "b", "c");
+        expectResults(resultOf(Outcome.NOT_SENT), resultOf(Outcome.DELIVERED), resultOf(Outcome.DELIVERED));
+        awaitLoopPasses();
+        assertEquals(List.of(), List.copyOf(lateResults), "a line for a message that was not in the call");
+    }
+
     /** An id or key with a blank, or the key that marks a missing one, would be misread in the body of a batch. */
     @Test
     void messageThatDoesNotFitTheBatchFormatIsSentAlone() throws Exception {
