End the connection of a request whose expectation is refused

Cause: Netty's aggregator answers an expectation that it can't meet, keeps the connection and restarts the decoder, which then takes the body for requests.

Change: an expectation other than 100-continue, in any Expect line, is refused with 417, which ends the connection, as does 413 for a length over the limit.

--- a/src/main/java/kestreldeal/net/RequestCollector.java
+++ b/src/main/java/kestreldeal/net/RequestCollector.java
@@ -70,6 +70,8 @@
         }
         if (request.decoderResult().isFailure()) {
             complete();
+        } else if (!expectationIsKnown(request)) {
+            refuse(HttpResponseStatus.EXPECTATION_FAILED, "unknown expectation");
         } else if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
             refuseTooLarge();
         } else if (HttpUtil.is100ContinueExpected(request)) {
@@ -90,6 +92,13 @@
         return !transferEncodings.isEmpty() && !chunkedOnly;
     }
 
+    /** Whether the request expects nothing but perhaps a 100 response; HTTP/1.0 has no expectations. */
+    private static boolean expectationIsKnown(HttpRequest request) {
+        return request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0
+                || request.headers().getAll(HttpHeaderNames.EXPECT).stream()
+                        .allMatch(HttpHeaderValues.CONTINUE.toString()::equalsIgnoreCase);
+    }
+
     private void add(HttpContent content) {
         if (content.decoderResult().isFailure()) {
             head.setDecoderResult(content.decoderResult());
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -1187,6 +1187,48 @@
         assertTrue(journalMessages().isEmpty() && receivedCalls().isEmpty());
     }
 
+    /** A part of the body of a refused request was accepted and run as a message. */
+    @Test
+    void refusedExpectationEndsTheConnectionWithWhatItHides() throws Exception {
+        start();
+        String hidden = submission("hidden", "order", "hello");
+        String body = hidden + "x".repeat(70_000 - hidden.length());
+        String tooLong = submission("outer", "order", body);
+        String chunked = submission("outer", "order", "").replace("Content-Length: 0", "Transfer-Encoding: chunked")
+                + Integer.toHexString(hidden.length()) + "\r\n" + hidden + "\r\n0\r\n\r\n";
+        Map<String, String> requests = Map.of(
+                withExpectation(tooLong, "100-continue"), "413",
+                withExpectation(tooLong, "something"), "417",
+                withExpectation(submission("outer", "order", hidden), "something"), "417",
+                withExpectation(submission("outer", "order", hidden), ""), "417",
+                withExpectation(submission("outer", "order", hidden), "100-continue\r\nExpect: something"), "417",
+                withExpectation(chunked, "something"), "417");
+        for (Map.Entry<String, String> request : requests.entrySet()) {
+            Socket client = connect();
+            StubServer.write(client, request.getKey());
+            String answers = readUntilClosed(client);
+            assertTrue(answers.startsWith("HTTP/1.1 " + request.getValue()), answers);
+            assertEquals(1, answers.split("HTTP/1.1 ", -1).length - 1, answers);
+        }
+        assertTrue(journalMessages().isEmpty() && receivedCalls().isEmpty());
+    }
+
+    /** A client may wait for the 100 response before it sends the body, or send it at once. */
+    @Test
+    void expectedContinueIsAnsweredBeforeTheBody() throws Exception {
+        start();
+        String request = withExpectation(submission("one", "order", "hello"), "100-continue");
+        Socket client = connect();
+        assertEquals("HTTP/1.1 100 Continue", exchange(client, request.substring(0, request.length() - 5)).line());
+        assertEquals("HTTP/1.1 202 Accepted", exchange(client, "hello").line());
+        awaitEmptyJournal();
+        assertEquals("hello", receivedCalls().get(0).body());
+    }
+
+    private static String withExpectation(String request, String expectation) {
+        return request.replace("Host: x\r\n", "Host: x\r\nExpect: " + expectation + "\r\n");
+    }
+
     @Test
     void connectionsWithoutACompleteRequestAreClosedSoon() throws Exception {
         start();
