--- a/src/test/java/kestreldeal/net/StubServer.java
+++ b/src/test/java/kestreldeal/net/StubServer.java
@@ -101,6 +101,10 @@
             while (true) {
                 Socket socket = server.accept();
                 sockets.add(socket);
+                if (server.isClosed()) {
+                    // Accepted in the moment of close(), which may have missed it.
+                    socket.close();
+                }
                 int connection = acceptedConnections.getAndIncrement();
                 startDaemon(() -> serve(socket, connection));
             }
