Treat a refusal whose head can't be read as malformed: its message may have run

Callers saw (by hand in the review): a payment sent again after a response that began with a 503 line and could not be read. Cause: the codec accepts header lines without a colon, blanks in names, folded lines, and unknown transfer codings beside a length; such a 503, 429, 504 or 410 was believed. Change: each header line is checked, and the body length as that of requests is (BodyLength). Evidence: EndpointClientTest.unreadableRefusalIsNoProofThatTheMessageNeverRan failed on the program as it was (503, 'this is no header'), passes now with 8 heads and 4 status codes.

--- a/src/main/java/kestreldeal/net/EndpointClient.java
+++ b/src/main/java/kestreldeal/net/EndpointClient.java
@@ -18,7 +18,6 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -696,7 +695,8 @@
     }
 
     /**
-     * Reads the head of each response ahead of Netty's codec, which reports a head only when it is complete. Status
+     * Reads the head of each response ahead of Netty's codec, which reports a head only when it is complete, and which
+     * accepts header lines without a colon or with blanks in the name. Status
      * 200 completes a single attempt at once, as nothing that follows can change the result. A malformed status line
      * ends the call at once, since a head that never ends would otherwise hold it until its timeout. A Retry-After wait
      * applies even if the rest of the response is malformed. Heads of 1xx responses are skipped; everything else is
@@ -707,6 +707,7 @@
         private static final int MAX_LINE_CHARS = 8192;
         private static final String PROTOCOL_PREFIX = "HTTP/1.";
         private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] (\\d{3})(?: .*)?");
+        private static final Pattern HEADER_LINE = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+:.*");
         private static final Pattern RETRY_AFTER_LINE = Pattern.compile("retry-after:(.*)", Pattern.CASE_INSENSITIVE);
 
         private final Connection connection;
@@ -760,6 +761,8 @@
             Matcher retryAfter = RETRY_AFTER_LINE.matcher(headerLine);
             if (headerLine.isEmpty()) {
                 connection.headRead = true;
+            } else if (!HEADER_LINE.matcher(headerLine).matches()) {
+                connection.failMalformed();
             } else if (retryAfter.matches()) {
                 connection.retryAfterReceived(parseRetryAfterMs(retryAfter.group(1)));
             }
@@ -777,13 +780,6 @@
         }
     }
 
-    /** Netty's decoder, extended to tell whether bytes follow a complete response. */
-    private static final class ResponseDecoder extends HttpResponseDecoder {
-        boolean hasUnreadBytes() {
-            return actualReadableBytes() > 0;
-        }
-    }
-
     /** A connection to an endpoint; it carries one call at a time. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Channel channel;
@@ -900,7 +896,7 @@
             if (part instanceof HttpResponse response) {
                 head = response;
                 call.report = parseLoadReport(response);
-                if (HttpUtil.getContentLength(response, 0L) > MAX_BODY_BYTES) {
+                if (BodyLength.isAmbiguous(response) || HttpUtil.getContentLength(response, 0L) > MAX_BODY_BYTES) {
                     failMalformed();
                     return;
                 }
--- a/src/main/java/kestreldeal/net/RequestCollector.java
+++ b/src/main/java/kestreldeal/net/RequestCollector.java
@@ -18,7 +18,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.util.List;
 import kestreldeal.InvalidInputException;
 
 /**
@@ -64,7 +63,7 @@
 
     private void begin(ChannelHandlerContext ctx, HttpRequest request) {
         head = request;
-        if (request.decoderResult().isSuccess() && hasAmbiguousLength(request)) {
+        if (request.decoderResult().isSuccess() && BodyLength.isAmbiguous(request)) {
             request.setDecoderResult(
                     DecoderResult.failure(new InvalidInputException("the body length is ambiguous")));
         }
@@ -79,19 +78,6 @@
         }
     }
 
-    /**
-     * Whether the body length is ambiguous or undefined. Such a request is rejected to prevent request smuggling: what
-     * one server takes for the body may be another request to the next server.
-     */
-    private static boolean hasAmbiguousLength(HttpRequest request) {
-        List<String> transferEncodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean chunkedOnly = transferEncodings.size() == 1
-                && transferEncodings.get(0).equalsIgnoreCase(HttpHeaderValues.CHUNKED.toString())
-                && request.protocolVersion().equals(HttpVersion.HTTP_1_1)
-                && !request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-        return !transferEncodings.isEmpty() && !chunkedOnly;
-    }
-
     /** Whether the request expects nothing but perhaps a 100 response; HTTP/1.0 has no expectations. */
     private static boolean expectationIsKnown(HttpRequest request) {
         return request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0
--- a/src/test/java/kestreldeal/net/EndpointClientTest.java
+++ b/src/test/java/kestreldeal/net/EndpointClientTest.java
@@ -297,6 +297,21 @@
                 "no connection is reused");
     }
 
+    /** A payment counted as never run, and was sent again, by an unreadable response that began with status 503. */
+    @Test
+    void unreadableRefusalIsNoProofThatTheMessageNeverRan() throws Exception {
+        for (String head : List.of("this is no header\r\nContent-Length: 0\r\n", "X Bad: 1\r\nContent-Length: 0\r\n",
+                "X-Bad : 1\r\nContent-Length: 0\r\n", "X-More: a\r\n folded\r\nContent-Length: 0\r\n",
+                ": no name\r\nContent-Length: 0\r\n", "Transfer-Encoding: gzip\r\nContent-Length: 0\r\n",
+                "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "Transfer-Encoding: gzip, chunked\r\n")) {
+            for (int status : List.of(503, 429, 504, 410)) {
+                stub.setScript(rawResponse("HTTP/1.1 " + status + " x\r\n" + head + "\r\n0\r\n\r\n"));
+                start(new byte[1], 600_000);
+                assertEquals(resultOf(Outcome.BROKEN), nextResult(), status + " " + head);
+            }
+        }
+    }
+
     @Test
     void statusLineWith200IsADeliveryWhateverFollows() throws Exception {
         for (String rest : List.of("", "X-More: more", "\u0001\u0002\r\n\r\n", "Content-Length: many\r\n\r\n",
