Answer all requests that have been read before a connection is closed

Cause: the first response carried Connection: close, and what had been read behind it was discarded. Change: a response ends the connection only if no further input is at hand; at the end of a drain each complete request that was read gets 503. Evidence: two tests of ClientServerTest, with 1 answer of 10 on the program before this change, pass now.

--- a/src/main/java/kestreldeal/net/ClientServer.java
+++ b/src/main/java/kestreldeal/net/ClientServer.java
@@ -80,6 +80,7 @@
      * end.
      */
     private static final int MAX_DISCARDED_BYTES = MAX_BODY_BYTES;
+    private static final String SENDER_ENDS = "the sender ends";
     /** Interval between checks for connections that have timed out. */
     private static final long TIMEOUT_CHECK_INTERVAL_MS = 200;
     /** Maximum number of reads from one connection before other connections are served. */
@@ -425,6 +426,8 @@
          * the successor is not kept here.
          */
         private FullHttpRequest waitingRequest;
+        /** Whether this process is about to exit: complete requests are answered with 503, and the rest is dropped. */
+        private boolean stopping;
         /** Whether the connection has ended, which frees its buffers. */
         private boolean ended;
         /** The memory that this connection counts for in {@link #requestMemory}. */
@@ -517,8 +520,16 @@
                 return;
             }
             handler.connectionClosing(CloseReason.SHUTDOWN);
-            if (requestStarted || waitingRequest != null) {
-                respondAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, "the sender ends");
+            stopping = true;
+            if (waitingRequest == null && !decoder.hasUndecodedInput()) {
+                endInput();
+            }
+        }
+
+        /** Ends the connection of a stopping server once all complete requests at hand are answered. */
+        private void endInput() {
+            if (requestStarted) {
+                respondAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, SENDER_ENDS);
             } else {
                 halfClose();
             }
@@ -562,6 +573,9 @@
         public void inputChanged() {
             countMemory();
             limitRequestMemory();
+            if (stopping && canDecodeNext()) {
+                endInput();
+            }
             updateAutoRead();
         }
 
@@ -629,6 +643,8 @@
             String path = request.uri().split("\\?", 2)[0];
             if (request.decoderResult().isFailure()) {
                 respondAndClose(HttpResponseStatus.BAD_REQUEST, "not HTTP");
+            } else if (stopping) {
+                respond(request, HttpResponseStatus.SERVICE_UNAVAILABLE, SENDER_ENDS);
             } else if (path.equals("/healthz")) {
                 respond(request, handler.isHealthy() && !evacuating ? HttpResponseStatus.OK
                         : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
@@ -680,7 +696,9 @@
 
         private ChannelFuture respond(FullHttpRequest request, HttpResponseStatus status, String text) {
             FullHttpResponse response = response(status, request.method().equals(HttpMethod.HEAD) ? "" : text);
-            if (!closesAfterNextResponse && !evacuating && !handedOver && HttpUtil.isKeepAlive(request)) {
+            // Requests that have been read behind this one are answered too; the last response ends the connection.
+            boolean closes = closesAfterNextResponse || evacuating || handedOver || stopping;
+            if (HttpUtil.isKeepAlive(request) && (!closes || decoder.hasUndecodedInput())) {
                 return channel.writeAndFlush(response);
             }
             handler.connectionClosing(CloseReason.LAST_ANSWER);
--- a/src/main/java/kestreldeal/net/SequentialRequestDecoder.java
+++ b/src/main/java/kestreldeal/net/SequentialRequestDecoder.java
@@ -184,6 +184,11 @@
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
     }
 
+    /** Whether there is input in which a further complete request may be found. */
+    boolean hasUndecodedInput() {
+        return !backlog.isEmpty() || !needsInput && actualReadableBytes() > 0;
+    }
+
     boolean hasMoreInput() {
         return actualReadableBytes() > 0 || !backlog.isEmpty();
     }
--- a/src/test/java/kestreldeal/net/ClientServerTest.java
+++ b/src/test/java/kestreldeal/net/ClientServerTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
 /** Tests the client server without a sender: connection limit, fairness between clients, and shutdown. */
@@ -428,4 +429,58 @@
             group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
         }
     }
+
+    /** Of ten requests that were read at once, nine got no answer, as the first response closed the connection. */
+    @Test
+    void requestsReadBehindTheLastOneAreAnsweredBeforeTheConnectionCloses() throws Exception {
+        List<Consumer<ClientServer>> closings = List.of(ClientServer::closeAfterNextResponse,
+                server -> server.setEvacuating(true), ClientServer::handOver);
+        for (Consumer<ClientServer> closing : closings) {
+            List<String> answers = answersToTenAtOnce(closing, server -> { });
+            assertEquals(10, answers.size(), answers.toString());
+            assertEquals(Set.of("keep", "close"), Set.copyOf(answers));
+            assertEquals(9, answers.indexOf("close"), "only the last one ends the connection");
+        }
+    }
+
+    /** The same when the process is about to exit: requests that have been read are refused, not dropped. */
+    @Test
+    void requestsReadWhenTheServerShutsDownAreAllAnswered() throws Exception {
+        List<String> answers = answersToTenAtOnce(server -> { }, ClientServer::shutDown);
+        assertEquals(10, answers.size(), answers.toString());
+        assertEquals(9, answers.indexOf("close"));
+    }
+
+    /** Sends ten requests at once; returns for each answer whether it keeps or closes the connection. */
+    private static List<String> answersToTenAtOnce(Consumer<ClientServer> before, Consumer<ClientServer> onFirst)
+            throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (Socket client = new Socket()) {
+            EventLoop loop = group.next();
+            RecordingHandler handler = new RecordingHandler();
+            ClientServer server = new ClientServer(loop, MAX_CLIENTS, MAX_REQUEST_BYTES, handler);
+            client.connect(listen(server));
+            client.setSoTimeout(30_000);
+            loop.submit(() -> before.accept(server)).sync();
+            CountDownLatch releaseLoop = new CountDownLatch(1);
+            blockLoop(loop, releaseLoop);
+            handler.onSubmission = () -> {
+                handler.onSubmission = () -> { };
+                onFirst.accept(server);
+            };
+            for (int i = 0; i < 10; i++) {
+                submit(client, "id-" + i);
+            }
+            releaseLoop.countDown();
+            BufferedInputStream in = new BufferedInputStream(client.getInputStream());
+            List<String> answers = new ArrayList<>();
+            for (StubServer.Message answer = StubServer.read(in, 0); answer != null; answer = StubServer.read(in, 0)) {
+                assertEquals("HTTP/1.1 503 Service Unavailable", answer.line());
+                answers.add("close".equals(answer.header("Connection")) ? "close" : "keep");
+            }
+            return answers;
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        }
+    }
 }
