Send no request to the agent on a connection with surplus bytes behind a response

Cause: AgentClient wrote the next request as soon as a response was complete, on the same connection, without looking at what was left of it; noise without a line end stayed in the decoder unseen. Change: bytes behind a response close the connection first, the next request waits 10 ms, and bytes that arrive while nothing is awaited close it. EndpointClient had these checks; its new test passed without a change. Evidence: both new tests of NoticeClientTest failed on the program before this change (HTTP/1.1 204 as surplus; the connection stayed open), pass now.

--- a/src/main/java/kestreldeal/net/AgentClient.java
+++ b/src/main/java/kestreldeal/net/AgentClient.java
@@ -3,18 +3,20 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.Optional;
@@ -36,6 +38,11 @@
     static final int MIN_PROGRESS_BYTES = 16 * 1024;
     /** Time limit from the first to the last byte of a body: a list has to be applied within 6 s of the request. */
     static final long BODY_TIMEOUT_MS = 5000;
+    /**
+     * Delay before a connection is used for the next request. Unexpected bytes that follow a response arrive in this
+     * time, and are not taken for the next response.
+     */
+    static final long REUSE_DELAY_MS = 10;
     /** Max bytes of one read, after which other tasks of the event loop run. */
     private static final int MAX_READ_BYTES = 32 * 1024;
 
@@ -58,10 +65,13 @@
     private final Connector connector;
     private Channel channel;
     private PendingRequest current;
+    private long lastResponseEndNanos;
 
     private final class PendingRequest {
         private final ResponseHandler handler;
         private Future<?> timer;
+        /** Whether it was written: only then a response can belong to it. */
+        private boolean written;
         private boolean keepAlive;
         private boolean responseStarted;
         private long firstByteNanos;
@@ -132,7 +142,9 @@
         this.connector = new Connector(loop, CONNECT_TIMEOUT_MS, newChannel -> {
             newChannel.config().setOption(ChannelOption.RECVBUF_ALLOCATOR,
                     new FixedRecvByteBufAllocator(MAX_READ_BYTES).maxMessagesPerRead(1));
-            newChannel.pipeline().addLast(ReceivedBytesCopier.INSTANCE, new HttpClientCodec(), new ResponseReader());
+            ResponseDecoder decoder = new ResponseDecoder();
+            newChannel.pipeline().addLast(ReceivedBytesCopier.INSTANCE, new UnexpectedBytesCheck(), decoder,
+                    new HttpRequestEncoder(), new ResponseReader(decoder));
         });
     }
 
@@ -144,20 +156,37 @@
         current = pending;
         pending.timer = loop.schedule(() -> pending.fail("no response in time"), responseTimeoutMs,
                 TimeUnit.MILLISECONDS);
-        if (channel != null && channel.isActive()) {
+        long reuseDelayNanos = channel == null ? 0
+                : lastResponseEndNanos + TimeUnit.MILLISECONDS.toNanos(REUSE_DELAY_MS) - System.nanoTime();
+        if (reuseDelayNanos > 0) {
+            loop.schedule(() -> write(pending, request), reuseDelayNanos, TimeUnit.NANOSECONDS);
+        } else {
+            write(pending, request);
+        }
+    }
+
+    /** Writes a request on the open connection, or on a new one. */
+    private void write(PendingRequest pending, FullHttpRequest request) {
+        if (current != pending) {
+            request.release();
+        } else if (channel != null && channel.isActive()) {
+            pending.written = true;
+            channel.writeAndFlush(request);
+        } else {
+            connector.connect(address, newChannel -> connected(newChannel, pending, request));
+        }
+    }
+
+    private void connected(Optional<Channel> newChannel, PendingRequest pending, FullHttpRequest request) {
+        if (current != pending || newChannel.isEmpty()) {
+            request.release();
+            newChannel.ifPresent(Channel::close);
+            pending.end(Optional.of("connect to the agent failed"));
+        } else {
+            channel = newChannel.get();
+            pending.written = true;
             channel.writeAndFlush(request);
-            return;
         }
-        connector.connect(address, newChannel -> {
-            if (current != pending || newChannel.isEmpty()) {
-                request.release();
-                newChannel.ifPresent(Channel::close);
-                pending.end(Optional.of("connect to the agent failed"));
-            } else {
-                channel = newChannel.get();
-                channel.writeAndFlush(request);
-            }
-        });
     }
 
     private void disconnect() {
@@ -176,7 +205,30 @@
         disconnect();
     }
 
+    /** Closes the connection if bytes arrive that belong to no request: they could be taken for the next response. */
+    private final class UnexpectedBytesCheck extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object data) {
+            if (ctx.channel() == channel && current != null && current.written) {
+                ctx.fireChannelRead(data);
+                return;
+            }
+            ReferenceCountUtil.release(data);
+            if (ctx.channel() == channel) {
+                disconnect();
+            } else {
+                ctx.close();
+            }
+        }
+    }
+
     private final class ResponseReader extends SimpleChannelInboundHandler<HttpObject> {
+        private final ResponseDecoder decoder;
+
+        ResponseReader(ResponseDecoder decoder) {
+            this.decoder = decoder;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
             if (ctx.channel() != channel || current == null) {
@@ -195,7 +247,8 @@
                 request.chunkReceived(content.content());
             }
             if (part instanceof LastHttpContent && request == current) {
-                if (!request.keepAlive) {
+                lastResponseEndNanos = System.nanoTime();
+                if (!request.keepAlive || decoder.hasUnreadBytes()) {
                     disconnect();
                 }
                 request.end(Optional.empty());
@@ -206,7 +259,7 @@
         public void channelInactive(ChannelHandlerContext ctx) {
             if (ctx.channel() == channel) {
                 channel = null;
-                if (current != null) {
+                if (current != null && current.written) {
                     current.end(Optional.of(current.responseStarted
                             ? "connection closed during the response, after " + current.bodyBytes + " bytes"
                             : "connection closed before a response"));
--- a/src/test/java/kestreldeal/net/EndpointClientTest.java
+++ b/src/test/java/kestreldeal/net/EndpointClientTest.java
@@ -343,6 +343,56 @@
         }
     }
 
+    /** A good answer with a second copy or noise behind it stays good, and the surplus reaches no other message. */
+    @Test
+    void surplusBehindAnyGoodResponseBelongsToNoOtherCall() throws Exception {
+        List<StubServer.Script> good = List.of(StubServer.status(200, ""), StubServer.status(503, ""),
+                StubServer.status(500, ""), batchResponse("", "a accepted\r\nb accepted\r\n"));
+        List<Outcome> outcomes = List.of(Outcome.DELIVERED, Outcome.FULL, Outcome.ERROR, Outcome.DELIVERED);
+        List<String> surplus = List.of("HTTP/1.1 200 x\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 429 x\r\nRetry-After: 9\r\nContent-Length: 0\r\n\r\n", "noise", "\r\n", "HTTP/1.1 2",
+                "a accepted\r\n");
+        for (int i = 0; i < good.size(); i++) {
+            for (String bytes : surplus) {
+                for (boolean early : List.of(true, false)) {
+                    expectSurplusIgnored(good.get(i), outcomes.get(i), i == 3, bytes, early);
+                }
+            }
+        }
+        assertEquals(List.of(), List.copyOf(retryAfterWaits), "a wait in the surplus binds nobody");
+        assertEquals(List.of(), List.copyOf(lateResults));
+    }
+
+    private void expectSurplusIgnored(StubServer.Script good, Outcome outcome, boolean batch, String surplus,
+            boolean early) throws Exception {
+        int endedBefore = stub.endedConnections();
+        int acceptedBefore = stub.acceptedConnections();
+        BlockingQueue<Socket> answered = new LinkedBlockingQueue<>();
+        stub.setScript((request, socket) -> {
+            good.handle(request, socket);
+            if (early) {
+                StubServer.write(socket, surplus);
+            }
+            answered.add(socket);
+        });
+        startTogether(batch ? new String[] {"a", "b"} : new String[] {"a"});
+        for (int i = 0; i < (batch ? 2 : 1); i++) {
+            assertEquals(resultOf(outcome), nextResult(), surplus);
+        }
+        if (!early) {
+            awaitIdle();
+            StubServer.write(answered.take(), surplus);
+        }
+        StubServer.await("the connection is closed", () -> stub.endedConnections() > endedBefore);
+        stub.setScript(StubServer.status(504, ""));
+        startTogether("next");
+        assertEquals(resultOf(Outcome.NOT_SENT), nextResult(), "the next call gets its own answer: " + surplus);
+        assertEquals(acceptedBefore + 2, stub.acceptedConnections());
+        awaitIdle();
+        loop.submit(() -> client.closeAllIdleConnections()).sync();
+        StubServer.await("its connection is closed", () -> stub.endedConnections() == stub.acceptedConnections());
+    }
+
     @Test
     void interimResponsesAreSkippedHoweverLongTheFinalOneTakes() throws Exception {
         CountDownLatch mayRespond = new CountDownLatch(1);
--- a/src/test/java/kestreldeal/net/NoticeClientTest.java
+++ b/src/test/java/kestreldeal/net/NoticeClientTest.java
@@ -1,15 +1,21 @@
 package kestreldeal.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.Socket;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -19,6 +25,10 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final List<String> delivered = new CopyOnWriteArrayList<>();
+    private static final String ACKNOWLEDGEMENT = "HTTP/1.1 204 x\r\n\r\n";
+
+    private final AtomicBoolean secondAnswered = new AtomicBoolean();
+    private final AtomicReference<Socket> firstSocket = new AtomicReference<>();
     private StubServer agent;
     private NoticeClient notices;
 
@@ -62,4 +72,66 @@
         assertEquals(4, agent.requests.stream().filter(r -> r.body().contains("unreadable"))
                 .filter(r -> r.body().lines().count() == 1).count());
     }
+
+    /** What may follow a good answer: a second copy, another answer, noise with and without a line end. */
+    private static final List<String> SURPLUS = List.of("HTTP/1.1 204 x\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n", "noise", "noise\r\n\r\n", "\r\n", "HTTP/1.1 2");
+
+    /** A second copy acknowledged the next notice, and noise failed it, as it followed on the same connection. */
+    @Test
+    void surplusInTheSameReadBelongsToNoOtherNotice() throws Exception {
+        for (String surplus : SURPLUS) {
+            int requestsBefore = agent.requests.size();
+            delivered.clear();
+            CountDownLatch secondQueued = new CountDownLatch(1);
+            agent.setScript((request, socket) -> {
+                if (request.body().contains("first")) {
+                    secondQueued.await();
+                    StubServer.write(socket, ACKNOWLEDGEMENT + surplus);
+                } else {
+                    secondAnswered.set(true);
+                    StubServer.write(socket, ACKNOWLEDGEMENT);
+                }
+            });
+            secondAnswered.set(false);
+            enqueue("first");
+            enqueue("second");
+            assertEquals(2, pendingCount());
+            secondQueued.countDown();
+            StubServer.await("both are delivered", () -> pendingCount() == 0);
+            expectEachSentOnce(surplus, requestsBefore);
+        }
+    }
+
+    /** As above, but the surplus arrives while nothing is waiting. */
+    @Test
+    void surplusOnAnIdleConnectionBelongsToNoOtherNotice() throws Exception {
+        for (String surplus : SURPLUS) {
+            int requestsBefore = agent.requests.size();
+            int endedBefore = agent.endedConnections();
+            delivered.clear();
+            agent.setScript((request, socket) -> {
+                secondAnswered.set(request.body().contains("second"));
+                StubServer.write(socket, ACKNOWLEDGEMENT);
+                if (request.body().contains("first")) {
+                    firstSocket.set(socket);
+                }
+            });
+            enqueue("first");
+            StubServer.await("the first is delivered", () -> pendingCount() == 0 && firstSocket.get() != null);
+            StubServer.write(firstSocket.getAndSet(null), surplus);
+            StubServer.await("the connection is closed", () -> agent.endedConnections() > endedBefore);
+            enqueue("second");
+            StubServer.await("the second is delivered", () -> pendingCount() == 0);
+            expectEachSentOnce(surplus, requestsBefore);
+        }
+    }
+
+    private void expectEachSentOnce(String surplus, int requestsBefore) {
+        assertEquals(List.of("first", "second"), delivered, surplus);
+        assertEquals(requestsBefore + 2, agent.requests.size(), "no notice is sent again: " + surplus);
+        assertTrue(secondAnswered.get(), "the second notice is delivered by its own answer: " + surplus);
+        assertNotEquals(agent.requests.get(requestsBefore).connection(),
+                agent.requests.get(requestsBefore + 1).connection(), surplus);
+    }
 }
