--- a/review/6/case.py
+++ b/review/6/case.py
@@ -73,4 +73,4 @@
     return broken
 
 
-run_case(__file__, play)
+run_case(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"), play)
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -25,11 +25,11 @@
 
 
 class Record:
-    """Lines with the time since the start of the case, written to record.txt."""
+    """Lines with the time since the start of the case, written to the file that the case names."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.start = time.monotonic()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def now(self):
         return time.monotonic() - self.start
@@ -347,10 +347,10 @@
     raise CannotRun("ended by a signal")
 
 
-def run_case(file, play):
+def run_case(record_path, play):
     """Runs play(record, folder), which returns the broken rules as texts, and exits as the review asks."""
     signal.signal(signal.SIGTERM, stopped)
-    record = Record(os.path.dirname(os.path.abspath(file)))
+    record = Record(record_path)
     folder = tempfile.mkdtemp(prefix="case-")
     code = 2
     try:
