Sender: turns, timers and the endpoint registry run on the machine's clock

Cause: a sender took the time of its turns from System.nanoTime and that of deadlines from the MachineClock that it was given, so no test could let it live through a minute, in which a removed endpoint is forgotten. Change: turns, wake-ups, attempts and the registry use the MachineClock too. AdjustableClock, for tests, goes on by itself and can jump ahead; WallClockTest uses it in place of a clock of its own. With the system's clocks nothing changes.

--- a/src/main/java/kestreldeal/net/EndpointClient.java
+++ b/src/main/java/kestreldeal/net/EndpointClient.java
@@ -197,7 +197,7 @@
      */
     OutboundAttempt startAttempt(AcceptedMessage message, int attemptNumber, long endpoint, double timeoutMs,
             long decidedNanos) {
-        double timeLeftMs = Math.max(0, timeoutMs - (System.nanoTime() - decidedNanos) / 1e6);
+        double timeLeftMs = Math.max(0, timeoutMs - (clock.nanos() - decidedNanos) / 1e6);
         Call call = peers.get(endpoint).callFor(message);
         OutboundAttempt attempt = new OutboundAttempt(message, attemptNumber, call, timeLeftMs);
         call.add(attempt);
@@ -321,7 +321,7 @@
     final class OutboundAttempt {
         final AcceptedMessage message;
         final int attemptNumber;
-        final long startedNanos = System.nanoTime();
+        final long startedNanos = clock.nanos();
         private final Call call;
         private final double timeoutMs;
         private boolean completed;
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -84,7 +84,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private final long startNanos = System.nanoTime();
+    private final long startNanos;
     private final EndpointRegistry registry = new EndpointRegistry(MAX_ENDPOINTS);
     /** Accepted messages without a final result, by the number that the decision module uses. */
     private final Map<Long, AcceptedMessage> pendingMessages = new HashMap<>();
@@ -142,9 +142,13 @@
         this(config, handoverAllowed, drainAcceptMs, drainTimeoutMs, MachineClock.system());
     }
 
-    /** Creates a sender with the given clocks. Their monotonic time must be that of {@link System#nanoTime}. */
+    /**
+     * Creates a sender with the given clocks. Their monotonic time must pass as that of {@link System#nanoTime} does, or
+     * jump ahead.
+     */
     Sender(Config config, boolean handoverAllowed, long drainAcceptMs, long drainTimeoutMs, MachineClock machineClock) {
         this.machineClock = machineClock;
+        this.startNanos = machineClock.nanos();
         this.config = config;
         this.handoverAllowed = handoverAllowed;
         this.drainAcceptMs = drainAcceptMs;
@@ -378,7 +382,7 @@
 
     /** Milliseconds since the start of this process. */
     private double nowMs() {
-        return (System.nanoTime() - startNanos) / 1e6;
+        return (machineClock.nanos() - startNanos) / 1e6;
     }
 
     private void endTurn() {
@@ -475,7 +479,7 @@
 
     @Override
     public void wakeAt(double timeMs) {
-        long delayNanos = (long) (timeMs * 1e6) - (System.nanoTime() - startNanos);
+        long delayNanos = (long) (timeMs * 1e6) - (machineClock.nanos() - startNanos);
         loop.schedule(() -> callDecisionModule(() -> relay.wake(currentTurnTimeMs())), Math.max(0, delayNanos),
                 TimeUnit.NANOSECONDS);
     }
@@ -535,7 +539,7 @@
         public void attemptCompleted(EndpointClient.OutboundAttempt attempt, Relay.Outcome outcome,
                 boolean messageExpired, double retryAfterMs, Relay.LoadReport report) {
             attemptsInFlight.remove(new AttemptId(attempt.message.number, attempt.attemptNumber));
-            double durationMs = (System.nanoTime() - attempt.startedNanos) / 1e6;
+            double durationMs = (machineClock.nanos() - attempt.startedNanos) / 1e6;
             if (handedOver) {
                 handover.sendResult(new ProcessHandover.InFlightResult(attempt.message.number, attempt.attemptNumber,
                         outcome, messageExpired, retryAfterMs, report, durationMs));
@@ -684,7 +688,7 @@
      */
     private void applyListEntries(List<Discovery.Entry> entries) {
         List<Relay.Endpoint> changes = new ArrayList<>(entries.size());
-        long nowNanos = System.nanoTime();
+        long nowNanos = machineClock.nanos();
         for (Discovery.Entry entry : entries) {
             if (entry.address().isEmpty() && registry.findNumber(entry.id()).isEmpty()) {
                 continue;
@@ -714,7 +718,7 @@
      * destination, so each is reported with the rate that was listed last for any endpoint of its destination.
      */
     private void removeUnlisted() {
-        List<Relay.Endpoint> removed = registry.markUnnamedRemoved(System.nanoTime()).stream()
+        List<Relay.Endpoint> removed = registry.markUnnamedRemoved(machineClock.nanos()).stream()
                 .map(Sender::removedEndpoint).toList();
         callDecisionModule(() -> relay.endpointsChanged(currentTurnTimeMs(), false, removed));
     }
@@ -729,7 +733,7 @@
      */
     private void evictRemovedEndpoints() {
         for (EndpointRegistry.RegisteredEndpoint endpoint
-                : registry.evictRemoved(System.nanoTime(),
+                : registry.evictRemoved(machineClock.nanos(),
                         TimeUnit.MILLISECONDS.toNanos(REMOVED_ENDPOINT_RETENTION_MS))) {
             endpointClient.removeEndpoint(endpoint.number());
             if (registry.findNumber(endpoint.id()).isEmpty()) {
@@ -740,7 +744,7 @@
     }
 
     private long endpointNumber(String id) {
-        return registry.getOrAssignNumber(id, System.nanoTime());
+        return registry.getOrAssignNumber(id, machineClock.nanos());
     }
 
     /** Accepts or rejects what clients submit. */
--- a/src/test/java/kestreldeal/net/EndpointClientTest.java
+++ b/src/test/java/kestreldeal/net/EndpointClientTest.java
@@ -815,7 +815,7 @@
             for (String id : List.of("a", "b")) {
                 long timeLeftMs = id.equals("a") ? BUDGET_MS : 10 * BUDGET_MS;
                 slowClient.startAttempt(AcceptedMessage.withTimeLeft(1, id, "order", "t", Optional.of("key-" + id), 7,
-                        timeLeftMs, new byte[1], clock), 0, 1, 10 * BUDGET_MS, System.nanoTime());
+                        timeLeftMs, new byte[1], clock), 0, 1, 10 * BUDGET_MS, clock.nanos());
             }
         }).syncUninterruptibly();
         expectResults(resultOf(Outcome.DELIVERED), resultOf(Outcome.DELIVERED));
--- a/src/test/java/kestreldeal/net/WallClockTest.java
+++ b/src/test/java/kestreldeal/net/WallClockTest.java
@@ -112,24 +112,6 @@
         }
     }
 
-    /** The machine's clocks, with the wall clock off by the given time. */
-    private record SteppedWallClock(long stepMs) implements MachineClock {
-        @Override
-        public long nanos() {
-            return System.nanoTime();
-        }
-
-        @Override
-        public long wallMillis() {
-            return System.currentTimeMillis() + stepMs;
-        }
-
-        @Override
-        public String bootId() {
-            return MachineClock.system().bootId();
-        }
-    }
-
     @ParameterizedTest
     @ValueSource(longs = {3_600_000, -3_600_000})
     void restoredMessageIsTriedWhateverTheWallClockSays(long stepMs) throws Exception {
@@ -139,7 +121,7 @@
             journal.recordAccepted(AcceptedMessage.withTimeLeft(journal.assignNumber(), "untried", "once", "",
                     Optional.empty(), 0, 20_000, new byte[0], MachineClock.system()));
         }
-        sender = environment.createSender(new SteppedWallClock(stepMs));
+        sender = environment.createSender(new AdjustableClock().stepWallClock(stepMs));
         sender.startAndAwaitListening();
         StubServer.await("the call to the endpoint", () -> endpoint.requests.size() == 1);
         assertEquals("untried", endpoint.requests.get(0).header("X-Call-Id"));
