The decision module owns an endpoint's lifetime; the sender forgets one when told

Cause: two owners. EndpointRegistry dropped the number of a removed endpoint 60 s after its removal at any answer to a watch; DeliveryScheduler dropped the endpoint only when entries changed, and never while a call or a wait ran. After that the module named a number without an id: RateLimiter.endpointFailed -> markDown -> saveEndpointHealth -> EndpointRegistry.id threw in the midst of attemptCompleted.

Twins by the same cause: - an id listed again after a minute got a new number, and was called in the wait it had told (a called message, shown); - health restored for an id that no list names stayed in the module for good, while its number was dropped; - numbers given to endpoints of restored attempts had no user in the module: they get none now; - look-ups by a number that may be late (a wait forwarded after a handover) tolerate a forgotten one.

--- a/src/main/java/kestreldeal/DeliveryScheduler.java
+++ b/src/main/java/kestreldeal/DeliveryScheduler.java
@@ -31,8 +31,8 @@
  *
  * <p>{@link TrackedMessage} is a message with its attempts, {@link Call} a request on the wire that may carry
  * several attempts, {@link RateLimiter} the rate limit of a destination, or of one endpoint where these are
- * separate routes, {@link TrackedEndpoint} an endpoint with its health, and {@link IdleConnectionReuse} the
- * reuse policy for idle connections. Times are in milliseconds, and rates are per millisecond.
+ * separate routes, and {@link TrackedEndpoint} an endpoint with its health. Times are in milliseconds, and
+ * rates are per millisecond.
  */
 final class DeliveryScheduler implements Relay {
     // Rounds of attempts.
@@ -124,15 +124,6 @@
     /** Share of the demand for a destination that it is assumed to sustain while no higher rate is known. */
     private static final double ASSUMED_DEMAND_SHARE = 0.7;
 
-    private static final double REMOVED_RETENTION_MS = 30_000;
-
-    // Idle connections.
-    /** A connection that was not used for this long counts as idle. */
-    private static final double MIN_IDLE_MS = 100;
-    /** Losses on idle connections limit reuse to this share of their idle time, for up to the retention. */
-    private static final double REUSE_IDLE_SHARE = 0.25;
-    private static final double IDLE_LOSS_RETENTION_MS = 30_000;
-
     // Priorities.
     /** Latency in which a message loses as much value as a zone fee of one point costs. */
     private static final double LATENCY_MS_PER_FEE_POINT = 25_000;
@@ -157,10 +148,10 @@
     private final Actions actions;
     private final Random random;
     private final Map<Long, TrackedEndpoint> endpoints = new LinkedHashMap<>();
-    /** Endpoints that have left the list, in the order in which they left. */
-    private final Set<TrackedEndpoint> removedEndpoints = new LinkedHashSet<>();
+    /** Endpoints that have left the list, and those that only {@link #pendingRestores} names. */
+    private final UnlistedEndpoints unlisted;
     private final Map<Long, Destination> destinations = new HashMap<>();
-    /** Learned state of a previous process, by endpoint, to be restored when a list names the endpoint. */
+    /** State of a previous process, by endpoint, to be restored when a list names the endpoint. */
     private final Map<Long, Consumer<TrackedEndpoint>> pendingRestores = new LinkedHashMap<>();
     private final Map<Long, TrackedMessage> messages = new HashMap<>();
     /** Messages that may be sent once an endpoint is ready, by class and segment; refused messages last. */
@@ -172,7 +163,7 @@
             HEDGES_PER_FIRST_SEND);
     private final SendBudget refusedBudget = new SendBudget(firstSends, RETRIES_ALWAYS_ALLOWED,
             RETRIES_PER_FIRST_SEND);
-    private final IdleConnectionReuse connectionReuse = new IdleConnectionReuse();
+    private final IdleConnectionReuse connectionReuse;
     /** Ordered messages by key: one at a time, with a cool-down after an attempt that may still run. */
     final KeyQueues<TrackedMessage> keyQueues;
     private final Timers timers;
@@ -188,10 +179,12 @@
         this.random = new Random(seed);
         this.timers = new Timers(CLOCK_MARGIN_MS, actions::wakeAt);
         this.keyQueues = new KeyQueues<>(timers, this::updateGroup);
+        this.connectionReuse = new IdleConnectionReuse(settings.keepAliveMs(), actions::closeIdleConnections);
         int queueCount = 2 * settings.classes().size() * PriorityCurve.SEGMENTS;
         this.waiting = new GroupedQueues<>(
                 IntStream.range(0, queueCount).mapToObj(DeliveryScheduler::queueOrder).toList(), JOINABLE,
                 TrackedMessage::segmentEnd);
+        this.unlisted = new UnlistedEndpoints(waiting::countOperation);
     }
 
     private static Comparator<TrackedMessage> queueOrder(int queue) {
@@ -216,14 +209,19 @@
                 endpoint.markListed(entry.serving());
             }
         }
-        // A list may omit an endpoint by mistake, so its learned state is kept for a while.
-        removedEndpoints.stream().peek(e -> waiting.countOperation())
-                .takeWhile(e -> clock > e.removedAt + REMOVED_RETENTION_MS)
-                .filter(e -> e.calls.isEmpty() && e.limiter.retryAfterUntil <= clock).toList().forEach(e -> {
-                    removedEndpoints.remove(e);
-                    endpoints.remove(e.entry.id());
-                    e.destination.endpoints.remove(e);
-                });
+    }
+
+    @Override
+    public void endpointListCompleted(double nowMs) {
+        advanceClock(nowMs);
+        unlisted.removeExpired(clock, id -> endpoints.containsKey(id) && endpoints.get(id).isInUse())
+                .forEach(this::forgetEndpoint);
+    }
+
+    private void forgetEndpoint(long id) {
+        pendingRestores.remove(id);
+        Optional.ofNullable(endpoints.remove(id)).ifPresent(e -> e.destination.endpoints.remove(e));
+        actions.endpointForgotten(id);
     }
 
     @Override
@@ -260,7 +258,7 @@
     @Override
     public void restoreEndpointHealth(double nowMs, long endpointId, EndpointHealth health) {
         advanceClock(nowMs);
-        restoreWhenListed(endpointId, e -> e.restore(health));
+        restoreWhenListed(endpointId, clock, e -> e.restore(health));
     }
 
     @Override
@@ -269,13 +267,16 @@
         state.firstSendsAgo().forEach(ago -> firstSends.add(clock - ago));
         state.copiesAgo().forEach(ago -> recordExtraSend(hedgeBudget, clock - ago));
         state.retriesAgo().forEach(ago -> recordExtraSend(refusedBudget, clock - ago));
-        state.endpoints().forEach(learned -> restoreWhenListed(learned.endpoint(), e -> e.restore(learned)));
+        state.endpoints().forEach(learned -> restoreWhenListed(learned.endpoint(),
+                clock + learned.waitLeftMs(), e -> e.restore(learned)));
     }
 
-    private void restoreWhenListed(long endpointId, Consumer<TrackedEndpoint> restore) {
+    private void restoreWhenListed(long endpointId, double waitUntil, Consumer<TrackedEndpoint> restore) {
         TrackedEndpoint endpoint = endpoints.get(endpointId);
         if (endpoint == null) {
             pendingRestores.merge(endpointId, restore, Consumer::andThen);
+            unlisted.add(endpointId, clock);
+            unlisted.keepUntil(endpointId, waitUntil);
         } else {
             restore.accept(endpoint);
             endpoint.destination.markChanged();
@@ -298,7 +299,8 @@
 
     @Override
     public EndpointCounts endpointCounts() {
-        List<TrackedEndpoint> listed = endpoints.values().stream().filter(e -> e.removedAt > clock).toList();
+        List<TrackedEndpoint> listed =
+                endpoints.values().stream().filter(e -> !unlisted.contains(e.entry.id())).toList();
         long available = listed.stream().filter(e -> e.serving && e.state != EndpointState.DOWN).count();
         return new EndpointCounts(listed.size(), (int) (listed.size() - available));
     }
@@ -785,7 +787,7 @@
         final long sentTurn = turn;
         /** Its id in the previous process, if that one sent it. */
         final OptionalLong previousId;
-        final double connIdleMs;
+        final IdleConnectionReuse.Use connection;
         int attemptCount;
         int attemptsInFlight;
         double sharedUntil = Double.POSITIVE_INFINITY;
@@ -797,7 +799,9 @@
             this.endpoint = endpoint;
             this.sentAt = sentAt;
             this.previousId = previousId;
-            this.connIdleMs = connectionReuse.prepareConnection(endpoint);
+            double unusedMs = endpoint.calls.isEmpty() ? clock - endpoint.lastUsedAt : 0;
+            this.connection = connectionReuse.begin(endpoint.entry.id(), endpoint.entry.destination(),
+                    unusedMs, clock);
             endpoint.lastUsedAt = clock;
             slotsUsed++;
             endpoint.calls.add(this);
@@ -1084,7 +1088,6 @@
         boolean errorOrRefusalWhileDown;
         double nextSendAt = Double.NEGATIVE_INFINITY;
         double lastUsedAt = Double.NEGATIVE_INFINITY;
-        double removedAt = Double.POSITIVE_INFINITY;
 
         TrackedEndpoint(Endpoint entry) {
             DestinationKind kind = settings.kinds().get(Math.min(entry.kind(), settings.kinds().size() - 1));
@@ -1114,18 +1117,22 @@
 
         void markListed(boolean isServing) {
             serving = isServing;
-            removedAt = Double.POSITIVE_INFINITY;
-            removedEndpoints.remove(this);
+            unlisted.remove(entry.id());
             destination.markChanged();
         }
 
         void markRemoved() {
             serving = false;
-            removedAt = Math.min(removedAt, clock);
-            removedEndpoints.add(this);
+            unlisted.add(entry.id(), clock);
             destination.markChanged();
         }
 
+        /** Whether a call is in flight, or ended so recently that its answer may come yet, or a wait runs. */
+        boolean isInUse() {
+            return !calls.isEmpty() || !UnlistedEndpoints.isRetentionOver(lastUsedAt, clock)
+                    || limiter.retryAfterUntil > clock;
+        }
+
         /** Whether a message with this allowed zone may be sent there now, if a slot is free. */
         boolean readyForZone(long zone) {
             return serving && (zone == ANY_ZONE || zone == entry.zone())
@@ -1269,7 +1276,7 @@
                     errorOrRefusalWhileDown |= state == EndpointState.DOWN;
                 }
                 default -> {
-                    connectionReuse.connectionLost(call);
+                    connectionReuse.connectionLost(call.connection, clock);
                     onFailure(FAILURE_WEIGHT, "times out or drops connections");
                 }
             }
@@ -1283,7 +1290,7 @@
             boolean briefFailure = !errorOrRefusalWhileDown && clock - lastDeliveryAt < MIN_OUTAGE_MS;
             boolean mayEndOutage = limiter.evidence.isSuspected(clock);
             limiter.endpointDelivered(mayEndOutage);
-            connectionReuse.connectionWorked(call);
+            connectionReuse.connectionWorked(call.connection, call.overdue);
             failureScore *= DELIVERY_FACTOR;
             overdueCalls = 0;
             slotCancellations = 0;
@@ -1339,7 +1346,7 @@
         }
 
         void onOverdue(Call call) {
-            connectionReuse.connectionLost(call);
+            connectionReuse.connectionLost(call.connection, clock);
             limiter.evidence.recordOverdue(call.sentAt);
             if (lastDeliveryAt < call.sentAt && ++overdueCalls >= DOWN_OVERDUE_CALLS) {
                 boolean wasDown = state == EndpointState.DOWN;
@@ -1394,47 +1401,4 @@
             }
         }
     }
-
-    /**
-     * Closes idle connections that may have been dropped without notice. Once calls of two destinations were
-     * lost on idle ones, any idle for over {@link #REUSE_IDLE_SHARE} of the shortest of these idle times is
-     * closed before use, until a call on a connection that was idle for at least that time is delivered.
-     */
-    private final class IdleConnectionReuse {
-        /** Of the calls lost on idle connections, the one whose connection was idle for the shortest time. */
-        private Optional<Call> loss = Optional.empty();
-        private double lastLossAt = Double.NEGATIVE_INFINITY;
-        private boolean lossConfirmed;
-
-        /** Idle time of the connection for a new call, 0 if in use or new; closes those idle for too long. */
-        double prepareConnection(TrackedEndpoint endpoint) {
-            double idleMs = !endpoint.calls.isEmpty() ? 0 : clock - endpoint.lastUsedAt;
-            if (clock > lastLossAt + IDLE_LOSS_RETENTION_MS) {
-                loss = Optional.empty();
-                lossConfirmed = false;
-            }
-            if (idleMs < MIN_IDLE_MS || idleMs >= settings.keepAliveMs()) {
-                return 0;
-            }
-            if (lossConfirmed && loss.filter(l -> idleMs > l.connIdleMs * REUSE_IDLE_SHARE).isPresent()) {
-                actions.closeIdleConnections(endpoint.entry.id());
-                return 0;
-            }
-            return idleMs;
-        }
-
-        void connectionLost(Call call) {
-            if (call.connIdleMs > 0) {
-                lossConfirmed |= loss.filter(l -> l.endpoint.destination != call.endpoint.destination)
-                        .isPresent();
-                loss = loss.filter(l -> l.connIdleMs < call.connIdleMs).or(() -> Optional.of(call));
-                lastLossAt = clock;
-            }
-        }
-
-        void connectionWorked(Call call) {
-            loss = loss.filter(l -> l != call && (call.overdue || call.connIdleMs < l.connIdleMs));
-            lossConfirmed &= loss.isPresent();
-        }
-    }
 }
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -32,6 +32,13 @@
      */
     void endpointsChanged(double nowMs, boolean fullList, List<Endpoint> entries);
 
+    /**
+     * Reports that a list, or the changes since the last one, have been read to their end, also if there were none.
+     * Endpoints that left the list a while ago, or that no list has named, are now forgotten, see {@link
+     * Actions#endpointForgotten}.
+     */
+    void endpointListCompleted(double nowMs);
+
     /**
      * Reports that the sender has accepted a message. Unless it is cancelled, exactly one final result completes it:
      * it is delivered, rejected or failed, normally before its deadline. The result comes at the deadline or shortly
@@ -139,6 +146,13 @@
         default void saveEndpointHealth(long endpoint, EndpointHealth health) {
         }
 
+        /**
+         * The instance has forgotten an endpoint that is not listed: no call to it is in flight, no Retry-After wait of
+         * it runs, and no action will name it again. Until then the sender must keep what belongs to its number.
+         */
+        default void endpointForgotten(long endpoint) {
+        }
+
         /** Writes a line to the log, for the operators. */
         void log(String text);
     }
@@ -218,6 +232,9 @@
      * {@code inFlightCallId} is set if the attempt is still in flight; several attempts may share that call.
      */
     record EarlierAttempt(long endpoint, double sentAtMs, boolean mayHaveRun, OptionalLong inFlightCallId) {
+        /** Stands for an endpoint that has no number, since no list has named it. */
+        public static final long UNKNOWN_ENDPOINT = -1;
+
         /** An attempt that no process waits for any more. */
         public EarlierAttempt(long endpoint, double sentAtMs, boolean mayHaveRun) {
             this(endpoint, sentAtMs, mayHaveRun, OptionalLong.empty());
--- a/src/main/java/kestreldeal/SimulatorAdapter.java
+++ b/src/main/java/kestreldeal/SimulatorAdapter.java
@@ -174,7 +174,10 @@
             case "changes" -> false;
             default -> throw new InvalidInputException("unknown list mode " + mode);
         };
-        return () -> relay(instance).endpointsChanged(nowMs, fullList, entries);
+        return () -> {
+            relay(instance).endpointsChanged(nowMs, fullList, entries);
+            relay(instance).endpointListCompleted(nowMs);
+        };
     }
 
     private Runnable parseSubmit(String instance, Fields fields) throws InvalidInputException {
--- a/src/main/java/kestreldeal/net/EndpointRegistry.java
+++ b/src/main/java/kestreldeal/net/EndpointRegistry.java
@@ -4,8 +4,6 @@
 import io.netty.util.collection.LongObjectMap;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,8 +11,9 @@
 
 /**
  * Maps the ids that endpoints have on the list to the numbers by which the decision module knows them, and records
- * which endpoints the list names at present. The cost of a change depends on the changed and the evicted entries, not
- * on the length of the list.
+ * which endpoints the list names at present. An endpoint that left the list keeps its number until the decision module
+ * has forgotten it, see {@link #forget}. The cost of a change depends on the changed entries, not on the length of the
+ * list.
  */
 final class EndpointRegistry {
     /** An endpoint that the list or the journal has named. Lists may be long, so it is kept small. */
@@ -23,6 +22,7 @@
         private final long number;
         /** The last update that named it, as counted by {@link EndpointRegistry#updateCount}. */
         private int lastUpdate = -1;
+        private boolean listed;
         private Destination destination;
 
         private RegisteredEndpoint(String id, long number) {
@@ -61,8 +61,6 @@
     private final Map<String, RegisteredEndpoint> byId = new HashMap<>();
     private final LongObjectMap<RegisteredEndpoint> byNumber = new LongObjectHashMap<>();
     private final LongObjectMap<Destination> destinations = new LongObjectHashMap<>();
-    /** Endpoints that the list does not name, with the {@link System#nanoTime} of their removal; the oldest first. */
-    private final Map<RegisteredEndpoint, Long> removedSince = new LinkedHashMap<>();
     private final int maxEndpoints;
     private long nextNumber;
     private int updateCount;
@@ -74,17 +72,16 @@
     }
 
     /** Returns the number of an endpoint; a new one gets a new number, and counts as removed until a list names it. */
-    long getOrAssignNumber(String id, long nowNanos) {
-        return getOrCreate(id, nowNanos).number;
+    long getOrAssignNumber(String id) {
+        return getOrCreate(id).number;
     }
 
-    private RegisteredEndpoint getOrCreate(String id, long nowNanos) {
+    private RegisteredEndpoint getOrCreate(String id) {
         RegisteredEndpoint endpoint = byId.get(id);
         if (endpoint == null) {
             endpoint = new RegisteredEndpoint(id, nextNumber++);
             byId.put(id, endpoint);
             byNumber.put(endpoint.number, endpoint);
-            removedSince.put(endpoint, nowNanos);
         }
         return endpoint;
     }
@@ -97,12 +94,19 @@
 
     /** Returns the destination of an endpoint, if a list has named it. */
     OptionalLong findDestination(long number) {
-        Destination destination = byNumber.get(number).destination;
-        return destination == null ? OptionalLong.empty() : OptionalLong.of(destination.id);
+        RegisteredEndpoint endpoint = byNumber.get(number);
+        return endpoint == null || endpoint.destination == null ? OptionalLong.empty()
+                : OptionalLong.of(endpoint.destination.id);
     }
 
+    /** Returns the id of an endpoint that has not been forgotten. */
     String id(long number) {
-        return byNumber.get(number).id;
+        return findId(number).orElseThrow(() -> new IllegalArgumentException("unknown endpoint number " + number));
+    }
+
+    /** Returns the id of an endpoint, unless it has been forgotten. */
+    Optional<String> findId(long number) {
+        return Optional.ofNullable(byNumber.get(number)).map(RegisteredEndpoint::id);
     }
 
     /** Whether a list has ever named this destination. */
@@ -125,24 +129,24 @@
      * Returns the endpoint that an entry, which is about to be registered, displaces: one with the same id and another
      * destination. It counts as removed, and the endpoint that has the id now gets a new number.
      */
-    Optional<RegisteredEndpoint> findDisplaced(Discovery.Entry entry, long nowNanos) {
+    Optional<RegisteredEndpoint> findDisplaced(Discovery.Entry entry) {
         RegisteredEndpoint endpoint = byId.get(entry.id());
         if (entry.removed() || endpoint == null || endpoint.destination == null
                 || endpoint.destination.id == entry.destination()) {
             return Optional.empty();
         }
         byId.remove(endpoint.id);
-        removedSince.putIfAbsent(endpoint, nowNanos);
+        endpoint.listed = false;
         return Optional.of(endpoint);
     }
 
     /** Registers an entry of the update and returns the endpoint's number; empty if it is new and there is no room. */
-    OptionalLong register(Discovery.Entry entry, long nowNanos) {
+    OptionalLong register(Discovery.Entry entry) {
         if (byId.size() >= maxEndpoints && !byId.containsKey(entry.id())) {
             skippedCount++;
             return OptionalLong.empty();
         }
-        RegisteredEndpoint endpoint = getOrCreate(entry.id(), nowNanos);
+        RegisteredEndpoint endpoint = getOrCreate(entry.id());
         endpoint.lastUpdate = updateCount;
         Destination destination = destinations.get(entry.destination());
         if (destination == null) {
@@ -153,11 +157,7 @@
         if (!entry.removed() || endpoint.destination == null) {
             endpoint.destination = destination;
         }
-        if (entry.removed()) {
-            removedSince.putIfAbsent(endpoint, nowNanos);
-        } else {
-            removedSince.remove(endpoint);
-        }
+        endpoint.listed = !entry.removed();
         return OptionalLong.of(endpoint.number);
     }
 
@@ -165,30 +165,21 @@
      * Ends an update that was a full list: marks the endpoints that it did not name as removed, and returns those that
      * were not removed before.
      */
-    List<RegisteredEndpoint> markUnnamedRemoved(long nowNanos) {
+    List<RegisteredEndpoint> markUnnamedRemoved() {
         List<RegisteredEndpoint> newlyRemoved = new ArrayList<>();
         for (RegisteredEndpoint endpoint : byId.values()) {
-            if (endpoint.lastUpdate != updateCount && removedSince.putIfAbsent(endpoint, nowNanos) == null) {
+            if (endpoint.lastUpdate != updateCount && endpoint.listed) {
+                endpoint.listed = false;
                 newlyRemoved.add(endpoint);
             }
         }
         return newlyRemoved;
     }
 
-    /** Evicts and returns the endpoints that were removed longer ago than this. */
-    List<RegisteredEndpoint> evictRemoved(long nowNanos, long maxAgeNanos) {
-        List<RegisteredEndpoint> evicted = new ArrayList<>();
-        Iterator<Map.Entry<RegisteredEndpoint, Long>> oldestFirst = removedSince.entrySet().iterator();
-        while (oldestFirst.hasNext()) {
-            Map.Entry<RegisteredEndpoint, Long> oldest = oldestFirst.next();
-            if (nowNanos - oldest.getValue() <= maxAgeNanos) {
-                break;
-            }
-            oldestFirst.remove();
-            evicted.add(oldest.getKey());
-            byId.remove(oldest.getKey().id, oldest.getKey());
-            byNumber.remove(oldest.getKey().number);
-        }
-        return evicted;
+    /** Forgets an endpoint, and returns its id if it still had that. Its number is never used again. */
+    Optional<String> forget(long number) {
+        RegisteredEndpoint endpoint = byNumber.remove(number);
+        boolean hadId = endpoint != null && byId.remove(endpoint.id, endpoint);
+        return hadId ? Optional.of(endpoint.id) : Optional.empty();
     }
 }
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -55,11 +55,6 @@
     private static final double OVERDUE_GRACE_MS = 1000;
     /** Time in which the end of a message that was read is processed; longer than any turn. */
     private static final double END_PROCESSING_MS = 2000;
-    /**
-     * How long an endpoint keeps its number after its removal from the list: longer than any call, so that late results
-     * can still be attributed to it.
-     */
-    private static final long REMOVED_ENDPOINT_RETENTION_MS = 60_000;
 
     /** Share of the heap for listed endpoints; the rest is for messages, buffers and reading the journal. */
     private static final double ENDPOINT_HEAP_SHARE = 0.6;
@@ -304,7 +299,7 @@
         journal.endpointHealth().forEach((id, health) -> {
             double nowMs = currentTurnTimeMs();
             double sinceMs = nowMs - health.ageMs(machineClock);
-            relay.restoreEndpointHealth(nowMs, endpointNumber(id),
+            relay.restoreEndpointHealth(nowMs, registry.getOrAssignNumber(id),
                     new Relay.EndpointHealth(health.state(), sinceMs, health.sustainedPerMs()));
         });
         for (AcceptedMessage message : messages) {
@@ -328,8 +323,9 @@
                 OptionalLong callId = predecessorCallIds.containsKey(attemptId)
                         ? OptionalLong.of(predecessorCallIds.get(attemptId)) : OptionalLong.empty();
                 callId.ifPresent(id -> predecessorAttempts.put(attemptId, message));
-                earlierAttempts.add(new Relay.EarlierAttempt(endpointNumber(attempt.endpoint), startedAtMs,
-                        !attempt.neverRan, callId));
+                earlierAttempts.add(new Relay.EarlierAttempt(
+                        registry.findNumber(attempt.endpoint).orElse(Relay.EarlierAttempt.UNKNOWN_ENDPOINT),
+                        startedAtMs, !attempt.neverRan, callId));
             }
             pendingMessages.put(message.number, message);
             pendingMessagesById.put(message.id, message);
@@ -350,7 +346,7 @@
         List<Relay.LearnedEndpointState> learned = new ArrayList<>();
         // The ids in state.endpoints() have the same order, so the size of the new list is the index of the next id.
         for (Relay.LearnedEndpointState endpoint : state.memory().endpoints()) {
-            learned.add(endpoint.withEndpointId(endpointNumber(state.endpoints().get(learned.size()))));
+            learned.add(endpoint.withEndpointId(registry.getOrAssignNumber(state.endpoints().get(learned.size()))));
         }
         relay.restoreLearnedState(currentTurnTimeMs(), new Relay.LearnedState(learned, state.memory().firstSendsAgo(),
                 state.memory().copiesAgo(), state.memory().retriesAgo()));
@@ -495,6 +491,17 @@
                 health.state(), health.sustainedPerMs(), machineClock));
     }
 
+    @Override
+    public void endpointForgotten(long endpoint) {
+        endpointClient.removeEndpoint(endpoint);
+        registry.forget(endpoint).ifPresent(this::deleteEndpointHealth);
+    }
+
+    /** An endpoint in service needs no record, so this deletes the one that there may be. */
+    private void deleteEndpointHealth(String endpoint) {
+        recordEndpointHealth(endpoint, new Journal.RecordedHealth(Relay.EndpointState.UP, 0, 0));
+    }
+
     private void recordEndpointHealth(String endpoint, Journal.RecordedHealth health) {
         if (journal != null) {
             journal.recordEndpointHealth(endpoint, health);
@@ -564,7 +571,7 @@
         @Override
         public void retryAfterReceived(long endpoint, double retryAfterMs) {
             if (handedOver) {
-                handover.sendRetryAfter(registry.id(endpoint), retryAfterMs);
+                registry.findId(endpoint).ifPresent(id -> handover.sendRetryAfter(id, retryAfterMs));
             } else {
                 Sender.this.retryAfterReceived(endpoint, retryAfterMs);
             }
@@ -666,7 +673,7 @@
             if (fullList) {
                 removeUnlisted();
             }
-            evictRemovedEndpoints();
+            callDecisionModule(() -> relay.endpointListCompleted(currentTurnTimeMs()));
             if (registry.skippedCount() > 0) {
                 Log.write("the endpoint list is too long: ignoring " + registry.skippedCount()
                         + " endpoints beyond the " + MAX_ENDPOINTS + " that fit into the heap");
@@ -688,16 +695,15 @@
      */
     private void applyListEntries(List<Discovery.Entry> entries) {
         List<Relay.Endpoint> changes = new ArrayList<>(entries.size());
-        long nowNanos = machineClock.nanos();
         for (Discovery.Entry entry : entries) {
             if (entry.address().isEmpty() && registry.findNumber(entry.id()).isEmpty()) {
                 continue;
             }
-            registry.findDisplaced(entry, nowNanos).ifPresent(displaced -> {
+            registry.findDisplaced(entry).ifPresent(displaced -> {
                 endpointClient.closeIdleConnections(displaced.number());
                 changes.add(removedEndpoint(displaced));
             });
-            OptionalLong assigned = registry.register(entry, nowNanos);
+            OptionalLong assigned = registry.register(entry);
             if (assigned.isEmpty()) {
                 continue;
             }
@@ -718,8 +724,8 @@
      * destination, so each is reported with the rate that was listed last for any endpoint of its destination.
      */
     private void removeUnlisted() {
-        List<Relay.Endpoint> removed = registry.markUnnamedRemoved(machineClock.nanos()).stream()
-                .map(Sender::removedEndpoint).toList();
+        List<Relay.Endpoint> removed = registry.markUnnamedRemoved().stream().map(Sender::removedEndpoint)
+                .toList();
         callDecisionModule(() -> relay.endpointsChanged(currentTurnTimeMs(), false, removed));
     }
 
@@ -727,26 +733,6 @@
         return new Relay.Endpoint(endpoint.number(), endpoint.destination(), 0, 0, false, endpoint.listedRate(), true);
     }
 
-    /**
-     * Evicts endpoints that were removed long ago. The decision module must have evicted them before, since it must not
-     * name an endpoint that is unknown here.
-     */
-    private void evictRemovedEndpoints() {
-        for (EndpointRegistry.RegisteredEndpoint endpoint
-                : registry.evictRemoved(machineClock.nanos(),
-                        TimeUnit.MILLISECONDS.toNanos(REMOVED_ENDPOINT_RETENTION_MS))) {
-            endpointClient.removeEndpoint(endpoint.number());
-            if (registry.findNumber(endpoint.id()).isEmpty()) {
-                // Deletes the recorded health: an endpoint in service needs no record.
-                recordEndpointHealth(endpoint.id(), new Journal.RecordedHealth(Relay.EndpointState.UP, 0, 0));
-            }
-        }
-    }
-
-    private long endpointNumber(String id) {
-        return registry.getOrAssignNumber(id, machineClock.nanos());
-    }
-
     /** Accepts or rejects what clients submit. */
     private final class SubmissionService implements ClientServer.SubmissionHandler {
         @Override
--- a/src/main/java/kestreldeal/scale/ModuleBenchmark.java
+++ b/src/main/java/kestreldeal/scale/ModuleBenchmark.java
@@ -149,6 +149,7 @@
         });
         measure("change", turnsPercent, values, () -> {
             relay.endpointsChanged(nowMs, false, List.of(newEndpoint(random.nextInt(size), ENDPOINTS_PER_DESTINATION)));
+            relay.endpointListCompleted(nowMs);
             return runTurn();
         });
     }
@@ -208,6 +209,7 @@
             entries.add(newEndpoint(i, endpointsPerDestination));
         }
         relay.endpointsChanged(nowMs, true, entries);
+        relay.endpointListCompleted(nowMs);
     }
 
     private void submit(int count, int destinationCount) {
--- a/src/main/java/kestreldeal/scale/fleet/SimulatedSender.java
+++ b/src/main/java/kestreldeal/scale/fleet/SimulatedSender.java
@@ -206,7 +206,10 @@
     void listUpdated(Relay.Endpoint entry) {
         if (isRunning()) {
             fleet.invariants().senderNotified(this, entry);
-            notifyModule(r -> r.endpointsChanged(clock.nowMs(), false, List.of(entry)));
+            notifyModule(r -> {
+                r.endpointsChanged(clock.nowMs(), false, List.of(entry));
+                r.endpointListCompleted(clock.nowMs());
+            });
         }
     }
 
@@ -442,6 +445,11 @@
         }
     }
 
+    @Override
+    public void endpointForgotten(long endpoint) {
+        savedHealth.remove(endpoint);
+    }
+
     @Override
     public void log(String text) {
         // Dropped: nobody reads the operator log of a thousand simulated senders.
--- a/src/test/java/kestreldeal/DeliverySchedulerCostTest.java
+++ b/src/test/java/kestreldeal/DeliverySchedulerCostTest.java
@@ -83,6 +83,7 @@
         for (int i = 0; i < 10; i++) {
             loaded.now += 1;
             loaded.scheduler.endpointsChanged(loaded.now, false, List.of(loaded.endpoint(i, i % 2 == 0)));
+            loaded.scheduler.endpointListCompleted(loaded.now);
             loaded.endTurn();
         }
         return loaded.scheduler.waiting.operations() - before;
--- a/src/test/java/kestreldeal/DeliverySchedulerEquivalenceTest.java
+++ b/src/test/java/kestreldeal/DeliverySchedulerEquivalenceTest.java
@@ -18,6 +18,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeSet;
 import kestreldeal.Relay.Repeat;
 import kestreldeal.Relay.MessageClass;
 import kestreldeal.Relay.Outcome;
@@ -62,6 +63,13 @@
         final List<Action> actions = new ArrayList<>();
         /** The time of the wake that was requested last. */
         double requestedWake = Double.POSITIVE_INFINITY;
+        /** The endpoints that were forgotten; those of one event in any order. */
+        final Set<Long> forgotten = new TreeSet<>();
+
+        @Override
+        public void endpointForgotten(long endpoint) {
+            forgotten.add(endpoint);
+        }
 
         @Override
         public void send(long message, long endpoint, double timeoutMs) {
@@ -215,6 +223,7 @@
 
         private void compareActions() {
             assertEquals(expected.actions, actual.actions);
+            assertEquals(expected.forgotten, actual.forgotten);
             actionCount += actual.actions.size();
             for (Action action : actual.actions) {
                 if (action.kind().equals("send")) {
@@ -376,6 +385,9 @@
                         pickOne(0, 20, 400), random.nextInt(8) == 0));
             }
             applyToBoth(r -> r.endpointsChanged(now, fullList, entries));
+            if (random.nextBoolean()) {
+                applyToBoth(r -> r.endpointListCompleted(now));
+            }
         }
 
         /**
--- a/src/test/java/kestreldeal/DeliverySchedulerTest.java
+++ b/src/test/java/kestreldeal/DeliverySchedulerTest.java
@@ -1327,7 +1327,8 @@
     void theDecisionModulesAreNamedAndBounded() throws Exception {
         String policy = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
                 .filter(line -> line.startsWith("policy = ")).findFirst().orElseThrow();
-        for (String module : List.of("DeliveryScheduler", "OutageEvidence", "PriorityCurve", "SendBudget")) {
+        for (String module : List.of("DeliveryScheduler", "IdleConnectionReuse", "OutageEvidence", "PriorityCurve",
+                "SendBudget", "UnlistedEndpoints")) {
             String file = "src/main/java/kestreldeal/" + module + ".java";
             assertTrue(policy.contains('"' + file + '"'), policy);
             List<String> lines = Files.readAllLines(Path.of(file));
--- a/src/test/java/kestreldeal/ReferenceScheduler.java
+++ b/src/test/java/kestreldeal/ReferenceScheduler.java
@@ -93,6 +93,9 @@
     private final Map<Long, TrackedEndpoint> endpoints = new LinkedHashMap<>();
     private final Map<Long, Destination> destinations = new LinkedHashMap<>();
     private final Map<Long, Consumer<TrackedEndpoint>> pendingRestores = new LinkedHashMap<>();
+    /** When the first of these restores was requested, and the end of the longest wait among them. */
+    private final Map<Long, Double> pendingSince = new LinkedHashMap<>();
+    private final Map<Long, Double> pendingWaitUntil = new LinkedHashMap<>();
     private final Map<Long, Delivery> deliveries = new LinkedHashMap<>();
     private final Set<Delivery> waiting = new LinkedHashSet<>();
     private final Set<Attempt> inFlightAttempts = new LinkedHashSet<>();
@@ -124,6 +127,8 @@
         for (Endpoint entry : entries) {
             TrackedEndpoint endpoint = endpoints.computeIfAbsent(entry.id(), unknown -> new TrackedEndpoint(entry));
             Optional.ofNullable(pendingRestores.remove(entry.id())).ifPresent(restore -> restore.accept(endpoint));
+            pendingSince.remove(entry.id());
+            pendingWaitUntil.remove(entry.id());
             endpoint.limiter.listedRate = settings.ratesListed() ? entry.listedRatePerSecond() / 1000 : 0;
             if (entry.removed()) {
                 endpoint.markRemoved();
@@ -132,7 +137,26 @@
                 endpoint.removedAt = Double.POSITIVE_INFINITY;
             }
         }
-        endpoints.values().removeIf(e -> e.isRetentionOver() && e.destination.endpoints.remove(e));
+    }
+
+    @Override
+    public void endpointListCompleted(double nowMs) {
+        advanceClock(nowMs);
+        for (TrackedEndpoint endpoint : List.copyOf(endpoints.values())) {
+            if (endpoint.isRetentionOver()) {
+                endpoints.remove(endpoint.entry.id());
+                endpoint.destination.endpoints.remove(endpoint);
+                actions.endpointForgotten(endpoint.entry.id());
+            }
+        }
+        for (long id : List.copyOf(pendingRestores.keySet())) {
+            if (clock > pendingSince.get(id) + REMOVED_RETENTION_MS && pendingWaitUntil.get(id) <= clock) {
+                pendingRestores.remove(id);
+                pendingSince.remove(id);
+                pendingWaitUntil.remove(id);
+                actions.endpointForgotten(id);
+            }
+        }
     }
 
     @Override
@@ -163,7 +187,7 @@
     @Override
     public void restoreEndpointHealth(double nowMs, long endpointId, EndpointHealth health) {
         advanceClock(nowMs);
-        restoreWhenListed(endpointId, endpoint -> endpoint.restore(health));
+        restoreWhenListed(endpointId, clock, endpoint -> endpoint.restore(health));
     }
 
     @Override
@@ -173,13 +197,16 @@
         state.copiesAgo().forEach(ago -> hedgeBudget.recordSend(clock - ago));
         state.retriesAgo().forEach(ago -> retryBudget.recordSend(clock - ago));
         state.endpoints().forEach(learned ->
-                restoreWhenListed(learned.endpoint(), endpoint -> endpoint.restore(learned)));
+                restoreWhenListed(learned.endpoint(), clock + learned.waitLeftMs(),
+                        endpoint -> endpoint.restore(learned)));
     }
 
-    private void restoreWhenListed(long endpointId, Consumer<TrackedEndpoint> restore) {
+    private void restoreWhenListed(long endpointId, double waitUntil, Consumer<TrackedEndpoint> restore) {
         TrackedEndpoint endpoint = endpoints.get(endpointId);
         if (endpoint == null) {
             pendingRestores.merge(endpointId, restore, Consumer::andThen);
+            pendingSince.putIfAbsent(endpointId, clock);
+            pendingWaitUntil.merge(endpointId, waitUntil, Math::max);
         } else {
             restore.accept(endpoint);
         }
@@ -916,7 +943,8 @@
             removedAt = Math.min(removedAt, clock);
         }
         boolean isRetentionOver() {
-            return clock > removedAt + REMOVED_RETENTION_MS && calls.isEmpty() && limiter.retryAfterUntil <= clock;
+            return clock > Math.max(removedAt, lastUsedAt) + REMOVED_RETENTION_MS && calls.isEmpty()
+                    && limiter.retryAfterUntil <= clock;
         }
         double cost(Delivery d) {
             if (state == EndpointState.DOWN) {
--- a/src/test/java/kestreldeal/SchedulerHarness.java
+++ b/src/test/java/kestreldeal/SchedulerHarness.java
@@ -38,6 +38,7 @@
     final List<String> finalResults = new ArrayList<>();
     final List<Double> requestedWakes = new ArrayList<>();
     final Map<Long, Relay.EndpointHealth> health = new HashMap<>();
+    final List<Long> forgottenEndpoints = new ArrayList<>();
     /** The Retry-After waits of the rejections, in the order of these. */
     final List<Double> rejectionRetryAfters = new ArrayList<>();
     final Relay relay;
@@ -92,13 +93,24 @@
     SchedulerHarness putEndpoint(long id, long destination, int kind, int zone, boolean serving) {
         Relay.Endpoint entry = new Relay.Endpoint(id, destination, kind, zone, serving, listedRate);
         endpoints.put(id, entry);
+        forgottenEndpoints.remove(id);
         relay.endpointsChanged(now, false, List.of(entry));
+        relay.endpointListCompleted(now);
         relay.endTurn(now);
         return this;
     }
 
     void removeEndpoint(long id, long destination) {
-        relay.endpointsChanged(now, false, List.of(new Relay.Endpoint(id, destination, 0, 0, false, listedRate, true)));
+        Relay.Endpoint entry = Optional.ofNullable(endpoints.get(id))
+                .orElse(new Relay.Endpoint(id, destination, 0, 0, false, listedRate));
+        relay.endpointsChanged(now, false, List.of(new Relay.Endpoint(id, destination, entry.kind(), entry.zone(), false,
+                listedRate, true)));
+        completeList();
+    }
+
+    /** Completes an update of the list that has no further entries. */
+    void completeList() {
+        relay.endpointListCompleted(now);
         relay.endTurn(now);
     }
 
@@ -317,9 +329,16 @@
 
     @Override
     public void saveEndpointHealth(long endpoint, Relay.EndpointHealth newHealth) {
+        assertFalse(forgottenEndpoints.contains(endpoint), "saved after it was forgotten");
         health.put(endpoint, newHealth);
     }
 
+    @Override
+    public void endpointForgotten(long endpoint) {
+        forgottenEndpoints.add(endpoint);
+        health.remove(endpoint);
+    }
+
     @Override
     public void log(String text) {
         assertFalse(text.isBlank());
--- a/src/test/java/kestreldeal/net/SenderTestEnvironment.java
+++ b/src/test/java/kestreldeal/net/SenderTestEnvironment.java
@@ -11,7 +11,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Function;
 
 /**
  * The environment of one sender on loopback sockets: its folder and configuration, an agent, and endpoints. Each
@@ -34,6 +36,7 @@
     int socketLimit = 256;
     int slots = 10;
     boolean listInConfig = true;
+    boolean separateRoutes;
     String listenAddress = "127.0.0.1:0";
     /** The configured address for operators, or empty. */
     String operatorAddress = "";
@@ -55,11 +58,20 @@
 
     /** The messages in the journal, read from a copy. */
     List<AcceptedMessage> journalMessages() {
+        return readJournal(journal -> List.copyOf(journal.liveMessages()));
+    }
+
+    /** The ids of the endpoints with recorded health, read from a copy of the journal. */
+    Set<String> journalHealth() {
+        return readJournal(journal -> journal.endpointHealth().keySet());
+    }
+
+    private <T> T readJournal(Function<Journal, T> query) {
         try {
             Path copy = Files.createTempDirectory(folder, "copy");
             Files.copy(stateFolder().resolve("journal"), copy.resolve("journal"));
             try (Journal journal = new Journal(copy, DISK_BYTES, MAX_ATTEMPTS)) {
-                return List.copyOf(journal.liveMessages());
+                return query.apply(journal);
             }
         } catch (IOException e) {
             throw new AssertionError(e);
@@ -101,12 +113,13 @@
                    {"name":"order","aim_ms":8000,"give_up_ms":24000,"repeat":"keyed","window_ms":%d},
                    {"name":"once","aim_ms":8000,"give_up_ms":24000,"repeat":"unsafe"}],
                   "flavors":["m"],"zones":["a"],
-                  "family_info":{"workers":%d,"batch_by_kind":[1],"separate_routes":[false]},
+                  "family_info":{"workers":%d,"batch_by_kind":[1],"separate_routes":[%s]},
                   "fleet_size":1,"limits":{"most_tries":%d,"second_copies":false,"cancel":true,
                    "dial_timeout_ms":%d,"keepalive_ms":15000},
                   "rules":{"start_capacity":0.2,"warm_after_ms":12000,"fall_multiple":2,"fall_ms":1500}}}
                 """.formatted(listenAddress, operatorAddress, agent.hostPort(), socketLimit,
-                        listInConfig ? endpointListJson() : "null", windowMs, slots, MAX_ATTEMPTS, dialTimeoutMs));
+                        listInConfig ? endpointListJson() : "null", windowMs, slots, separateRoutes, MAX_ATTEMPTS,
+                        dialTimeoutMs));
         return Map.of("GW_CONFIG", file.toString(), "GW_STATE", stateFolder().toString());
     }
 
--- a/src/test/java/kestreldeal/scale/fleet/ForwardingRelay.java
+++ b/src/test/java/kestreldeal/scale/fleet/ForwardingRelay.java
@@ -16,6 +16,11 @@
         delegate.endpointsChanged(nowMs, fullList, entries);
     }
 
+    @Override
+    public void endpointListCompleted(double nowMs) {
+        delegate.endpointListCompleted(nowMs);
+    }
+
     @Override
     public void messageAccepted(double nowMs, Message message) {
         delegate.messageAccepted(nowMs, message);
@@ -124,6 +129,11 @@
             delegate.saveEndpointHealth(endpoint, health);
         }
 
+        @Override
+        public void endpointForgotten(long endpoint) {
+            delegate.endpointForgotten(endpoint);
+        }
+
         @Override
         public void log(String text) {
             delegate.log(text);
