Recorded health: an endpoint whose id went to another one has no record

If the old one was down, the new one was taken for down after a restart, and got single probes; later changes of the old one overwrote it. Change: the record is deleted when the id goes to another endpoint, and only the endpoint that has its id now writes one.

--- a/src/main/java/kestreldeal/net/EndpointRegistry.java
+++ b/src/main/java/kestreldeal/net/EndpointRegistry.java
@@ -109,6 +109,12 @@
         return Optional.ofNullable(byNumber.get(number)).map(RegisteredEndpoint::id);
     }
 
+    /** Whether the endpoint with this number is the one that has its id now; see {@link #findDisplaced}. */
+    boolean ownsId(long number) {
+        RegisteredEndpoint endpoint = byNumber.get(number);
+        return endpoint != null && byId.get(endpoint.id) == endpoint;
+    }
+
     /** Whether a list has ever named this destination. */
     boolean knowsDestination(long destination) {
         return destinations.containsKey(destination);
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -485,10 +485,13 @@
         Log.write(text);
     }
 
+    /** The journal records health by id, so an endpoint whose id is now that of another one has no record. */
     @Override
     public void saveEndpointHealth(long endpoint, Relay.EndpointHealth health) {
-        recordEndpointHealth(registry.id(endpoint), Journal.RecordedHealth.ofAge(turnTimeMs - health.sinceMs(),
-                health.state(), health.sustainedPerMs(), machineClock));
+        if (registry.ownsId(endpoint)) {
+            recordEndpointHealth(registry.id(endpoint), Journal.RecordedHealth.ofAge(turnTimeMs - health.sinceMs(),
+                    health.state(), health.sustainedPerMs(), machineClock));
+        }
     }
 
     @Override
@@ -701,6 +704,7 @@
             }
             registry.findDisplaced(entry).ifPresent(displaced -> {
                 endpointClient.closeIdleConnections(displaced.number());
+                deleteEndpointHealth(displaced.id());
                 changes.add(removedEndpoint(displaced));
             });
             OptionalLong assigned = registry.register(entry);
--- a/src/test/java/kestreldeal/net/EndpointRegistryTest.java
+++ b/src/test/java/kestreldeal/net/EndpointRegistryTest.java
@@ -48,6 +48,8 @@
         long after = register("a", 8, 1, false);
         assertTrue(after != before);
         assertEquals("a", registry.id(before));
+        assertTrue(registry.ownsId(after));
+        assertFalse(registry.ownsId(before), "the id, and what is recorded by it, is that of the new endpoint");
         assertEquals(Optional.empty(), registry.forget(before));
         assertEquals(OptionalLong.of(after), registry.findNumber("a"), "the old endpoint is forgotten, not the new one");
     }
@@ -88,6 +90,7 @@
         assertEquals(OptionalLong.empty(), registry.findNumber("left"));
         assertEquals(Optional.empty(), registry.findId(left));
         assertEquals(OptionalLong.empty(), registry.findDestination(left));
+        assertFalse(registry.ownsId(left));
         assertThrows(IllegalArgumentException.class, () -> registry.id(left));
         assertEquals(Optional.empty(), registry.forget(left));
         assertTrue(register("left", 1, 1, false) != left, "a number is never reused");
--- a/src/test/java/kestreldeal/net/RelistedEndpointTest.java
+++ b/src/test/java/kestreldeal/net/RelistedEndpointTest.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -62,4 +63,17 @@
         StubServer.await("the endpoint is called again", () -> calledIds().size() == 2);
         assertEquals(List.of("before", "for it"), calledIds());
     }
+
+    /** The journal records health by id: the new endpoint was taken for down after a restart, as the old one was. */
+    @Test
+    void healthOfTheOldDestinationIsNotThatOfTheNewOne() throws Exception {
+        endpoint.setScript(StubServer.status(429, "Retry-After: 60\r\n"));
+        submit("refused", 0);
+        StubServer.await("the endpoint is called", () -> calledIds().equals(List.of("refused")));
+        StubServer.await("its health is recorded", () -> environment.journalHealth().contains("s-0"));
+        environment.firstDestination = OTHER_DESTINATION;
+        StubServer.await("the changed list is read", () -> environment.agent.requests.stream()
+                .anyMatch(r -> r.line().contains("after=" + environment.generation())));
+        assertEquals(Set.of(), environment.journalHealth());
+    }
 }
