An exception in the decision module leaves no slot taken and no message without its end

Cause, as a class: steps that must follow one another whatever happens (release a slot, end a message, request a wake-up, send the other messages) stood behind steps that may throw, and the sender only logged an exception or a message past its deadline. Change in the module: FaultCollector runs such steps and throws the first exception at the end. attemptCompleted, send, the ends of messages, timers, the end of a turn, list entries and the queues' updates use it. A message whose dispatch throws is put off by a backoff, so it doesn't keep the others waiting. Change in the sender: DeadlineWatchdog ends a message that has no end 100 ms after its deadline, seen at two checks (before, it was logged after a second). Each restored message is one call of the module. A turn follows an exception. An attempt whose start throws gets a result. A fault counts as NO_MODULE_FAULT.

--- a/src/main/java/kestreldeal/DeliveryScheduler.java
+++ b/src/main/java/kestreldeal/DeliveryScheduler.java
@@ -50,16 +50,10 @@
     /** A keyed message is repeated only until this long before its window ends, to allow for transit time. */
     private static final double DEDUP_WINDOW_MARGIN_MS = 300;
 
-    // Timeouts: a multiple of the target latency, or mean latency plus a multiple of its deviation if longer.
+    // Timeouts: a multiple of the target latency, or the slowest likely latency if longer.
     private static final double TIMEOUT_TARGET_FACTOR = 1.25;
-    private static final double TIMEOUT_DEVIATION_FACTOR = 8;
     /** Minimum timeout of an unsafe message, as a share of its deadline: it can't be sent again later. */
     private static final double UNSAFE_TIMEOUT_SHARE = 0.33;
-    private static final double LATENCY_SAMPLE_WEIGHT = 0.15;
-    private static final double INITIAL_LATENCY_MS = 250;
-
-    /** An endpoint with a mean latency up to this counts as fast: it frees its slots soon. */
-    private static final double FAST_LATENCY_MS = 250;
 
     /** A call is not cancelled to free its slot before it has been in flight this long. */
     private static final double MIN_CANCEL_AGE_MS = 200;
@@ -109,7 +103,6 @@
     private static final double DOWN_SCORE = 0.6;
     /** Number of overdue calls, without a delivery since they were sent, that mark an endpoint as down. */
     private static final int DOWN_OVERDUE_CALLS = 2;
-    private static final double OVERDUE_DEVIATION_FACTOR = 4;
     /** This many failures or refusals in a row, over at least MIN_OUTAGE_MS, mark an endpoint as down. */
     private static final int DOWN_FAILURES = 3;
     private static final double MIN_OUTAGE_MS = 2500;
@@ -153,7 +146,7 @@
     private final Map<Long, Destination> destinations = new HashMap<>();
     /** State of a previous process, by endpoint, to be restored when a list names the endpoint. */
     private final Map<Long, Consumer<TrackedEndpoint>> pendingRestores = new LinkedHashMap<>();
-    private final Map<Long, TrackedMessage> messages = new HashMap<>();
+    final Map<Long, TrackedMessage> messages = new HashMap<>();
     /** Messages that may be sent once an endpoint is ready, by class and segment; refused messages last. */
     final GroupedQueues<TrackedMessage> waiting;
     private final EventRate.Total totalDemand = new EventRate.Total();
@@ -167,7 +160,7 @@
     /** Ordered messages by key: one at a time, with a cool-down after an attempt that may still run. */
     final KeyQueues<TrackedMessage> keyQueues;
     private final Timers timers;
-    private int slotsUsed;
+    int slotsUsed;
     private long turn;
     private long nextQueuePosition;
     private double shutdownAt = Double.POSITIVE_INFINITY;
@@ -199,16 +192,22 @@
         if (fullList) {
             endpoints.values().forEach(TrackedEndpoint::markRemoved);
         }
-        for (Endpoint entry : entries) {
-            TrackedEndpoint endpoint = endpoints.computeIfAbsent(entry.id(), k -> new TrackedEndpoint(entry));
-            Optional.ofNullable(pendingRestores.remove(entry.id())).ifPresent(r -> r.accept(endpoint));
+        FaultCollector faults = new FaultCollector();
+        entries.forEach(entry -> faults.run(() -> applyEntry(entry)));
+        faults.rethrow();
+    }
+
+    private void applyEntry(Endpoint entry) {
+        TrackedEndpoint endpoint = endpoints.computeIfAbsent(entry.id(), k -> new TrackedEndpoint(entry));
+        Optional<Consumer<TrackedEndpoint>> restore = Optional.ofNullable(pendingRestores.remove(entry.id()));
+        FaultCollector.runAll(() -> restore.ifPresent(r -> r.accept(endpoint)), () -> {
             endpoint.limiter.listedRate = settings.ratesListed() ? entry.listedRatePerSecond() / 1000 : 0;
             if (entry.removed()) {
                 endpoint.markRemoved();
             } else {
                 endpoint.markListed(entry.serving());
             }
-        }
+        });
     }
 
     @Override
@@ -338,13 +337,16 @@
         timers.remove(attempt);
         attempt.mayHaveRun = result.outcome().mayHaveRun();
         d.wasRefused = result.outcome() == Outcome.FULL;
-        attempt.call.ifPresent(call -> call.attemptCompleted(result));
-        if (attempt.mayHaveRun && result.outcome() != Outcome.ERROR) {
-            d.keyQueue.ifPresent(queue -> queue.coolDown(clock + settings.keyCoolDownMs()));
-        }
-        d.keyQueue.ifPresent(queue -> queue.addInFlight(-1));
+        FaultCollector.runAll(() -> attempt.call.ifPresent(call -> call.attemptCompleted(result)),
+                () -> d.keyQueue.filter(queue -> attempt.mayHaveRun && result.outcome() != Outcome.ERROR)
+                        .ifPresent(queue -> queue.coolDown(clock + settings.keyCoolDownMs())),
+                () -> d.keyQueue.ifPresent(queue -> queue.addInFlight(-1)),
+                () -> attemptEnded(d, result.messageFinished()));
+    }
+
+    private void attemptEnded(TrackedMessage d, boolean messageFinished) {
         d.inFlight--;
-        if (result.messageFinished()) {
+        if (messageFinished) {
             complete(d);
         }
         if (d.completed) {
@@ -390,10 +392,8 @@
     @Override
     public void endTurn(double nowMs) {
         advanceClock(nowMs);
-        timers.fireDue(nowMs);
-        dispatch();
-        timers.requestWake(nowMs, waiting.nextUpdateAt());
-        turn++;
+        FaultCollector.runAll(() -> timers.fireDue(nowMs), this::dispatch, () -> turn++,
+                () -> timers.requestWake(nowMs, waiting.nextUpdateAt()));
     }
 
     /** Lowest rate of probes by one sender: all senders together still notice a recovery in time. */
@@ -421,39 +421,57 @@
      * would not end before the shutdown.
      */
     private void dispatch() {
-        waiting.requeueExpired(clock, this::updateGroup);
-        waiting.updateEligibility(clock);
+        FaultCollector faults = new FaultCollector();
+        waiting.requeueExpired(clock, d -> {
+            if (!faults.run(() -> updateGroup(d))) {
+                waiting.remove(d);
+            }
+        });
+        faults.run(() -> waiting.updateEligibility(clock));
         List<Group<TrackedMessage>> setAside = new ArrayList<>();
         List<TrackedMessage> deferred = new ArrayList<>();
         for (Group<TrackedMessage> group = nextGroup(); group != null; group = nextGroup()) {
-            TrackedMessage d = group.first();
-            Optional<TrackedEndpoint> endpoint = chooseEndpoint(d, false);
-            if (endpoint.isPresent()) {
-                send(d, endpoint.get(), false);
-                waiting.updateEligibility(clock);
-            } else if (needsCallOfItsOwn(d)) {
+            Group<TrackedMessage> next = group;
+            TrackedMessage d = next.first();
+            if (!faults.run(() -> dispatchFirst(next, d, setAside, deferred))) {
+                // A message that can't be handled must not keep the others waiting.
                 waiting.remove(d);
-                deferred.add(d);
-            } else if (!safeToSend(d)) {
-                updateGroup(d);
-            } else {
-                group.setLevel(0);
-                setAside.add(group);
+                if (d.inFlight == 0) {
+                    faults.run(() -> scheduleNextRound(d));
+                }
             }
         }
         if (!deferred.isEmpty()) {
-            deferred.forEach(this::updateGroup);
-            waiting.updateEligibility(clock);
+            deferred.forEach(d -> faults.run(() -> updateGroup(d)));
+            faults.run(() -> waiting.updateEligibility(clock));
             timers.add(clock, () -> { /* only wakes for a turn */ });
         }
         boolean slotsScarce = settings.cancellation() && slotsUsed >= settings.slotCount() - 1;
         if (slotsScarce && (setAside.stream().anyMatch(this::lacksOnlySlot)
                 || waiting.groups(servedQueues(), ELIGIBLE).anyMatch(this::lacksOnlySlot))) {
-            cancelSlowestCall();
+            faults.run(this::cancelSlowestCall);
         }
         setAside.forEach(group -> group.owner.markChanged());
         // The calls of this turn can't be joined in the next turn.
         waiting.groups(Integer.MAX_VALUE, JOINABLE).forEach(group -> group.owner.markChanged());
+        faults.rethrow();
+    }
+
+    private void dispatchFirst(Group<TrackedMessage> group, TrackedMessage d,
+            List<Group<TrackedMessage>> setAside, List<TrackedMessage> deferred) {
+        Optional<TrackedEndpoint> endpoint = chooseEndpoint(d, false);
+        if (endpoint.isPresent()) {
+            send(d, endpoint.get(), false);
+            waiting.updateEligibility(clock);
+        } else if (needsCallOfItsOwn(d)) {
+            waiting.remove(d);
+            deferred.add(d);
+        } else if (!safeToSend(d)) {
+            updateGroup(d);
+        } else {
+            group.setLevel(0);
+            setAside.add(group);
+        }
     }
 
     /** Whether it needs a call of its own, in a later turn, as attempts of one turn share a call. */
@@ -563,8 +581,25 @@
     }
 
     private void send(TrackedMessage d, TrackedEndpoint endpoint, boolean hedged) {
-        Call call = endpoint.joinOrStartCall(d);
-        Attempt attempt = new Attempt(d, Optional.of(endpoint), clock);
+        FaultCollector faults = new FaultCollector();
+        if (faults.run(() -> endpoint.joinOrStartCall(d))) {
+            Call call = endpoint.latestCall;
+            Attempt attempt = new Attempt(d, Optional.of(endpoint), clock);
+            faults.run(() -> recordSend(d, hedged));
+            double timeout = Math.min(endpoint.timeout(d.messageClass), d.deadlineAt - clock);
+            if (faults.run(() -> actions.send(d.message.id(), endpoint.entry.id(), timeout))) {
+                faults.run(() -> attemptStarted(attempt, Optional.of(call), hedged));
+            } else {
+                // It is unknown how far the sender came, and no result will be reported.
+                attempt.mayHaveRun = true;
+                call.attemptsInFlight--;
+            }
+        }
+        endpoint.calls.stream().filter(c -> c.attemptsInFlight == 0).toList().forEach(Call::releaseIfUnused);
+        faults.rethrow();
+    }
+
+    private void recordSend(TrackedMessage d, boolean hedged) {
         if (hedged) {
             recordExtraSend(hedgeBudget, clock);
         } else if (d.attempts.size() == 1) {
@@ -573,9 +608,6 @@
         } else if (d.wasRefused) {
             recordExtraSend(refusedBudget, clock);
         }
-        double timeout = Math.min(endpoint.timeout(d.messageClass), d.deadlineAt - clock);
-        actions.send(d.message.id(), endpoint.entry.id(), timeout);
-        attemptStarted(attempt, Optional.of(call), hedged);
     }
 
     private void recordExtraSend(SendBudget budget, double at) {
@@ -590,13 +622,16 @@
         attempt.inFlight = true;
         inFlightAttempts.add(attempt);
         d.inFlight++;
-        updateGroup(d);
-        d.keyQueue.ifPresent(queue -> queue.addInFlight(1));
+        FaultCollector faults = new FaultCollector();
+        faults.run(() -> updateGroup(d));
+        faults.run(() -> d.keyQueue.ifPresent(queue -> queue.addInFlight(1)));
         double hedgeDelay = d.messageClass.targetLatencyMs() * HEDGE_DELAY_SHARE;
         if (!hedged && clock <= attempt.sentAt + hedgeDelay) {
             timers.set(attempt, attempt.sentAt + hedgeDelay);
         }
-        call.ifPresent(c -> c.setOverdueAt(attempt.sentAt + Math.max(hedgeDelay, c.endpoint.overdueAfter())));
+        call.ifPresent(c -> c.setOverdueAt(
+                attempt.sentAt + Math.max(hedgeDelay, c.endpoint.latency.overdueAfter())));
+        faults.rethrow();
     }
 
     /** All attempts have ended undelivered: waits, with jitter, for a new round, or finishes the message. */
@@ -637,12 +672,14 @@
             return;
         }
         boolean repeatable = d.messageClass.repeat() != Repeat.UNSAFE && !d.isDedupWithinZone();
-        if (repeatable || d.attempts.stream().noneMatch(Attempt::mayTakeEffect)) {
-            actions.reject(d.message.id(), Math.max(0, d.destination.nextReadyAt() - clock));
-        } else {
-            actions.fail(d.message.id());
-        }
-        complete(d);
+        boolean neverRan = d.attempts.stream().noneMatch(Attempt::mayTakeEffect);
+        FaultCollector.runAll(() -> {
+            if (repeatable || neverRan) {
+                actions.reject(d.message.id(), Math.max(0, d.destination.nextReadyAt() - clock));
+            } else {
+                actions.fail(d.message.id());
+            }
+        }, () -> complete(d));
     }
 
     /** Marks a message as completed and cancels its redundant attempts. */
@@ -651,15 +688,18 @@
             return;
         }
         d.completed = true;
+        removeUnlessInFlight(d);
         waiting.remove(d);
         timers.removeAll(d, d.dedupTimer, d.backoffTimer);
-        d.keyQueue.ifPresent(queue -> queue.remove(d));
+        FaultCollector faults = new FaultCollector();
+        faults.run(() -> d.keyQueue.ifPresent(queue -> queue.remove(d)));
         for (int i = 0; i < d.attempts.size(); i++) {
             if (d.attempts.get(i).inFlight && settings.cancellation()) {
-                actions.cancel(d.message.id(), i);
+                int attempt = i;
+                faults.run(() -> actions.cancel(d.message.id(), attempt));
             }
         }
-        removeUnlessInFlight(d);
+        faults.rethrow();
     }
 
     private void removeUnlessInFlight(TrackedMessage d) {
@@ -771,7 +811,7 @@
 
         /** Its time in flight, relative to a limit that grows with each cancellation at its endpoint. */
         double cancelLimitRatio() {
-            return endpoint.map(e -> (clock - sentAt) / (Math.max(e.overdueAfter(), MIN_CANCEL_AGE_MS)
+            return endpoint.map(e -> (clock - sentAt) / (Math.max(e.latency.overdueAfter(), MIN_CANCEL_AGE_MS)
                     * (1 + e.slotCancellations))).orElse(0.0);
         }
     }
@@ -813,32 +853,41 @@
         boolean canCarry(TrackedMessage d) {
             double endAt = Math.min(sharedUntil, d.sharedUntil);
             return Math.max(lastTimeoutAt, endpoint.timeoutAt(d)) <= endAt
-                    || clock + endpoint.meanLatency <= endAt;
+                    || clock + endpoint.latency.mean() <= endAt;
         }
 
         void add(TrackedMessage d) {
-            attemptCount++;
-            attemptsInFlight++;
             sharedUntil = Math.min(sharedUntil, d.sharedUntil);
             lastTimeoutAt = Math.max(lastTimeoutAt, endpoint.timeoutAt(d));
+            attemptCount++;
+            attemptsInFlight++;
         }
 
         void attemptCompleted(AttemptResult result) {
             attemptsInFlight--;
+            FaultCollector.runAll(() -> recordResult(result), this::releaseIfUnused);
+        }
+
+        private void recordResult(AttemptResult result) {
             endpoint.limiter.recordRetryAfter(result.retryAfterMs());
             endpoint.limiter.recordReportedRate(result.report().rate());
             // A budget may end a call before it is overdue, which says nothing about its endpoint.
-            boolean early = result.outcome() == Outcome.TIMED_OUT && clock - sentAt < endpoint.overdueAfter();
+            boolean early = result.outcome() == Outcome.TIMED_OUT
+                    && clock - sentAt < endpoint.latency.overdueAfter();
             if (!early && !resultRecorded && result.outcome() != Outcome.CANCELLED
                     && result.outcome() != Outcome.NOT_SENT) {
                 resultRecorded = true;
                 endpoint.recordResult(this, result);
             }
+        }
+
+        /** Releases its slot when no attempt of it is in flight any more. */
+        void releaseIfUnused() {
             endpoint.lastUsedAt = clock;
-            if (attemptsInFlight == 0) {
+            if (attemptsInFlight == 0 && endpoint.calls.remove(this)) {
                 slotsUsed--;
-                endpoint.calls.remove(this);
                 endpoint.destination.callsInFlight--;
+                endpoint.latestCall = endpoint.latestCall == this ? null : endpoint.latestCall;
                 timers.remove(this);
             }
             endpoint.destination.markChanged();
@@ -1072,8 +1121,7 @@
         Call latestCall;
         /** Its calls in flight, in the order in which they were sent. */
         final List<Call> calls = new ArrayList<>(0);
-        double meanLatency = INITIAL_LATENCY_MS;
-        double latencyDeviation = INITIAL_LATENCY_MS / 2;
+        final LatencyEstimate latency = new LatencyEstimate();
         double failureScore;
         int overdueCalls;
         int slotCancellations;
@@ -1104,14 +1152,13 @@
             return new LearnedEndpointState(entry.id(), Math.max(0, limiter.retryAfterUntil - clock),
                     limiter.allowedRate, clock - limiter.rateCutAt, limiter.refusalLevel,
                     limiter.sendRate.perMs(), limiter.reportedRate, destination.demand.perMs(),
-                    sustainedRate.perMs(), meanLatency, latencyDeviation, clock - lastDeliveryAt);
+                    sustainedRate.perMs(), latency.mean(), latency.deviation(), clock - lastDeliveryAt);
         }
 
         void restore(LearnedEndpointState learned) {
             limiter.restore(learned);
             sustainedRate.restore(learned.carried());
-            meanLatency = learned.latencyMs();
-            latencyDeviation = learned.deviationMs();
+            latency.restore(learned.latencyMs(), learned.deviationMs());
             lastDeliveryAt = clock - learned.goodAgoMs();
         }
 
@@ -1149,7 +1196,7 @@
                 return (d.messageClass.repeat() == Repeat.UNSAFE ? 1 : -1) * Double.POSITIVE_INFINITY;
             }
             double freeShare = 1 - (double) slotsUsed / settings.slotCount();
-            return meanLatency * (1 + calls.size()) + consecutiveFailures * MIN_OUTAGE_MS
+            return latency.mean() * (1 + calls.size()) + consecutiveFailures * MIN_OUTAGE_MS
                     + zoneFee * LATENCY_MS_PER_FEE_POINT * freeShare;
         }
 
@@ -1158,7 +1205,7 @@
                     && state != EndpointState.DOWN;
         }
 
-        Call joinOrStartCall(TrackedMessage d) {
+        void joinOrStartCall(TrackedMessage d) {
             if (!canJoinCall()) {
                 latestCall = new Call(this, clock, OptionalLong.empty());
                 limiter.recordSend();
@@ -1169,7 +1216,6 @@
                 limiter.nextRecoverySendAt = clock + 1 / limiter.totalRecoveryRate(this);
             }
             latestCall.add(d);
-            return latestCall;
         }
 
         /** The call of the previous process that still carries the attempt: it holds a slot until it ends. */
@@ -1188,9 +1234,9 @@
          */
         boolean slotAvailable() {
             int freeSlots = settings.slotCount() - slotsUsed;
-            boolean fast = meanLatency <= FAST_LATENCY_MS && lastDeliveryAt > Double.NEGATIVE_INFINITY
+            boolean fast = latency.isFast() && lastDeliveryAt > Double.NEGATIVE_INFINITY
                     && calls.stream().skip(DOWN_OVERDUE_CALLS - 1).limit(1)
-                    .allMatch(c -> clock - c.sentAt <= overdueAfter());
+                    .allMatch(c -> clock - c.sentAt <= latency.overdueAfter());
             double slotShare = settings.slotCount() * destination.demand.shareOfTotal();
             boolean belowShare = destination.callsInFlight + 1 + SHARE_TOLERANCE < slotShare;
             return fast && freeSlots > (belowShare ? 0 : 1)
@@ -1210,25 +1256,17 @@
             return isInFullService() ? earliest : Math.max(earliest, limiter.nextRecoverySendAt);
         }
 
-        /** A latency that is rarely exceeded; a call is overdue after it, but not before the hedge delay. */
-        double overdueAfter() {
-            return meanLatency + OVERDUE_DEVIATION_FACTOR * latencyDeviation;
-        }
-
         /**
          * The time that must be left before the shutdown to start a call. An unsafe message must not be cut
          * off: it needs the slowest likely latency (its timeout would be longer than any shutdown takes).
          */
         double requiredTimeLeft(MessageClass messageClass) {
-            return messageClass.repeat() == Repeat.UNSAFE ? slowestLatency() : overdueAfter();
-        }
-
-        private double slowestLatency() {
-            return meanLatency + TIMEOUT_DEVIATION_FACTOR * latencyDeviation;
+            return messageClass.repeat() == Repeat.UNSAFE ? latency.slowest() : latency.overdueAfter();
         }
 
         double timeout(MessageClass messageClass) {
-            double usual = Math.max(messageClass.targetLatencyMs() * TIMEOUT_TARGET_FACTOR, slowestLatency());
+            double usual =
+                    Math.max(messageClass.targetLatencyMs() * TIMEOUT_TARGET_FACTOR, latency.slowest());
             double unsafeMin = messageClass.repeat() == Repeat.UNSAFE
                     ? messageClass.deadlineMs() * UNSAFE_TIMEOUT_SHARE : 0;
             return Math.max(usual, unsafeMin);
@@ -1296,13 +1334,11 @@
             slotCancellations = 0;
             consecutiveFailures = 0;
             lastDeliveryAt = clock;
-            latencyDeviation += LATENCY_SAMPLE_WEIGHT
-                    * (Math.abs(result.durationMs() - meanLatency) - latencyDeviation);
-            meanLatency += LATENCY_SAMPLE_WEIGHT * (result.durationMs() - meanLatency);
+            latency.addSample(result.durationMs());
             if (state == EndpointState.UP) {
                 sustainedRate.addEvent(clock);
             } else if (state == EndpointState.DOWN && limiter.isRecovering()) {
-                meanLatency = result.durationMs();
+                latency.restartMean(result.durationMs());
                 startSlowStart();
             } else if (state == EndpointState.DOWN && downByOverdueCalls && call.sentAt < downAt
                     && result.durationMs() < MIN_OUTAGE_MS) {
@@ -1310,7 +1346,7 @@
             } else if (state == EndpointState.DOWN && briefFailure) {
                 markUp("failed only briefly, is up again");
             } else if (state == EndpointState.DOWN) {
-                meanLatency = result.durationMs();
+                latency.restartMean(result.durationMs());
                 startSlowStart();
             }
             limiter.adjustRate(result.report().left());
--- a/src/main/java/kestreldeal/GroupedQueues.java
+++ b/src/main/java/kestreldeal/GroupedQueues.java
@@ -95,13 +95,18 @@
         orders.forEach(order -> queues.add(new Queue<>(order, maxLevel)));
     }
 
-    /** Updates the eligibility of the groups of all owners that were marked as changed or whose update is due. */
+    /**
+     * Updates the eligibility of the groups of all owners that were marked as changed or whose update is due. An
+     * exception of one owner is thrown when the others have been updated.
+     */
     void updateEligibility(double nowMs) {
         while (scheduledUpdates.nextDueAt() <= nowMs) {
             scheduledUpdates.poll().markChanged();
         }
-        changedOwners.forEach(Owner::update);
+        FaultCollector faults = new FaultCollector();
+        changedOwners.forEach(owner -> faults.run(owner::update));
         changedOwners.clear();
+        faults.rethrow();
     }
 
     /** Time of the next update that an owner has scheduled. */
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -19,8 +19,19 @@
  * time that decreases) throws {@link IllegalArgumentException}. Events that can arrive late in normal operation are
  * ignored: a cancellation of an unknown or completed message, a timer that is no longer needed. A second result of an
  * attempt counts if it finishes the message or tells that the attempt never ran.
+ *
+ * <p>Another exception, of the instance or of an action, is a bug. An event that throws one has still been applied to
+ * all messages, calls and endpoints that it does not concern. No call keeps its slot, and each message is tried again,
+ * ended at its deadline, or was about to be ended by the action that threw. If {@link Actions#send} throws, the attempt
+ * may have run and gets no result.
  */
 public interface Relay {
+    /** Creates instances; tests use it to make them break a rule. */
+    interface Factory {
+        /** Creates an instance without messages, endpoints or learned state. */
+        Relay create(Settings settings, long seed, Actions actions);
+    }
+
     /** Creates an instance without messages, endpoints or learned state. */
     static Relay create(Settings settings, long seed, Actions actions) {
         return new DeliveryScheduler(settings, seed, actions);
--- a/src/main/java/kestreldeal/Timers.java
+++ b/src/main/java/kestreldeal/Timers.java
@@ -31,11 +31,16 @@
         return timer;
     }
 
-    /** Fires all timers that are due, in the order of their times, including those set meanwhile for now or earlier. */
+    /**
+     * Fires all timers that are due, in the order of their times, including those set meanwhile for now or earlier. An
+     * exception of one timer is thrown when the others have been fired.
+     */
     void fireDue(double nowMs) {
+        FaultCollector faults = new FaultCollector();
         while (nextDueAt() <= nowMs) {
-            poll().fire();
+            faults.run(poll()::fire);
         }
+        faults.rethrow();
     }
 
     /**
@@ -45,10 +50,10 @@
     void requestWake(double nowMs, double otherDueAt) {
         double next = Math.min(otherDueAt, nextDueAt());
         if (requestedAt <= nowMs + marginMs || next < requestedAt) {
-            requestedAt = next;
             if (next < Double.POSITIVE_INFINITY) {
                 wakeAt.accept(next);
             }
+            requestedAt = next;
         }
     }
 }
--- a/src/main/java/kestreldeal/net/AcceptedMessage.java
+++ b/src/main/java/kestreldeal/net/AcceptedMessage.java
@@ -51,8 +51,8 @@
      * a message restored from the journal.
      */
     boolean acknowledged;
-    /** Whether the message was reported as still not completed after its deadline. */
-    boolean reportedOverdue;
+    /** Whether the message was still not completed at a check after its deadline. */
+    boolean overdue;
     /**
      * Whether nothing may be sent for the message any more: it was delivered, its endpoint reported it as expired, it
      * was rejected or failed by a notice, or its 202 response could not be written. A finished message is completed
--- /dev/null
+++ b/src/main/java/kestreldeal/net/DeadlineWatchdog.java
@@ -0,0 +1,69 @@
+package kestreldeal.net;
+
+import io.netty.channel.EventLoop;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * Finds messages that have no final result although their deadline has passed, whatever the reason: the decision module
+ * should have completed them. A message counts as overdue if it is still pending at two checks after the deadline, so
+ * that a standstill of the event loop, after which everything is late, finds none.
+ */
+final class DeadlineWatchdog {
+    /** Time after the deadline of the first of the two checks. */
+    static final long GRACE_MS = 100;
+    /** Shortest time between two checks. */
+    static final long MIN_INTERVAL_MS = 50;
+
+    private final EventLoop loop;
+    private final MachineClock clock;
+    private final Supplier<Collection<AcceptedMessage>> pendingMessages;
+    private final Consumer<AcceptedMessage> overdueListener;
+    /** The time of the next check by {@link MachineClock#nanos}, if one is scheduled. */
+    private long nextCheckNanos;
+    private boolean scheduled;
+
+    /** The listener has to complete each message that it gets. */
+    DeadlineWatchdog(EventLoop loop, MachineClock clock, Supplier<Collection<AcceptedMessage>> pendingMessages,
+            Consumer<AcceptedMessage> overdueListener) {
+        this.loop = loop;
+        this.clock = clock;
+        this.pendingMessages = pendingMessages;
+        this.overdueListener = overdueListener;
+    }
+
+    /** A message has been accepted or restored, or its 202 response has been written. */
+    void messageAdded(AcceptedMessage message) {
+        schedule(message.completionDeadlineNanos + TimeUnit.MILLISECONDS.toNanos(GRACE_MS));
+    }
+
+    private void schedule(long checkNanos) {
+        if (scheduled && nextCheckNanos <= checkNanos) {
+            return;
+        }
+        long delayNanos = Math.max(checkNanos - clock.nanos(), TimeUnit.MILLISECONDS.toNanos(MIN_INTERVAL_MS));
+        scheduled = true;
+        nextCheckNanos = checkNanos;
+        loop.schedule(() -> {
+            // A check that was scheduled for an earlier time has replaced this one.
+            if (nextCheckNanos == checkNanos) {
+                check();
+            }
+        }, delayNanos, TimeUnit.NANOSECONDS);
+    }
+
+    private void check() {
+        scheduled = false;
+        for (AcceptedMessage message : List.copyOf(pendingMessages.get())) {
+            if (message.timeLeftMs(clock) > -GRACE_MS || !message.overdue) {
+                message.overdue = message.timeLeftMs(clock) <= -GRACE_MS;
+                messageAdded(message);
+            } else {
+                overdueListener.accept(message);
+            }
+        }
+    }
+}
--- a/src/main/java/kestreldeal/net/Invariants.java
+++ b/src/main/java/kestreldeal/net/Invariants.java
@@ -21,8 +21,10 @@
         ATTEMPT_LIMIT,
         /** A message has exactly one final result. */
         ONE_END,
-        /** An accepted message has its final result by its deadline, with a tolerance of a second. */
+        /** An accepted message has its final result by its deadline, with the tolerance of {@link DeadlineWatchdog}. */
         END_IN_TIME,
+        /** The decision module throws no exception. */
+        NO_MODULE_FAULT,
         /** A client's request that was read is answered before this process closes its connection. */
         REQUEST_ANSWERED,
         /** Each live message of the journal is restored when this process becomes the leader, unless it is finished. */
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import kestreldeal.FaultCollector;
 import kestreldeal.InvalidInputException;
 import kestreldeal.Relay;
 
@@ -49,10 +50,8 @@
     private static final long DRAIN_POLL_INTERVAL_MS = 20;
     /** Time that clients have after the drain to notice the end of their connections and to close them. */
     private static final long CLIENT_CLOSE_TIMEOUT_MS = 200;
-    /** Interval between checks for messages that are past their deadline. */
-    private static final long OVERDUE_CHECK_INTERVAL_MS = 1000;
-    /** How long a message must be past its deadline before it is reported. */
-    private static final double OVERDUE_GRACE_MS = 1000;
+    /** Time after an exception of the decision module until a turn in which it may do what it has missed. */
+    private static final long WAKE_AFTER_FAULT_MS = 100;
     /** Time in which the end of a message that was read is processed; longer than any turn. */
     private static final double END_PROCESSING_MS = 2000;
 
@@ -96,6 +95,7 @@
     private InetSocketAddress agentAddress;
     private ClientServer clientServer;
     private OperatorServer operatorServer;
+    private DeadlineWatchdog deadlineWatchdog;
     private final Metrics metrics;
     private final Invariants invariants = new Invariants();
     private final SendGuard sendGuard;
@@ -142,13 +142,19 @@
      * jump ahead.
      */
     Sender(Config config, boolean handoverAllowed, long drainAcceptMs, long drainTimeoutMs, MachineClock machineClock) {
+        this(config, handoverAllowed, drainAcceptMs, drainTimeoutMs, machineClock, Relay::create);
+    }
+
+    /** For tests: creates a sender with its own decision module. */
+    Sender(Config config, boolean handoverAllowed, long drainAcceptMs, long drainTimeoutMs, MachineClock machineClock,
+            Relay.Factory relayFactory) {
         this.machineClock = machineClock;
         this.startNanos = machineClock.nanos();
         this.config = config;
         this.handoverAllowed = handoverAllowed;
         this.drainAcceptMs = drainAcceptMs;
         this.drainTimeoutMs = drainTimeoutMs;
-        this.relay = Relay.create(config.settings(), config.seed(), this);
+        this.relay = relayFactory.create(config.settings(), config.seed(), this);
         this.metrics = new Metrics(config.classNames());
         this.sendGuard = new SendGuard(config.settings(), config.classNames());
     }
@@ -214,6 +220,7 @@
         clientServer = new ClientServer(loop, maxClientConnections,
                 (long) (Runtime.getRuntime().maxMemory() * REQUEST_HEAP_SHARE), submissionService);
         operatorServer = new OperatorServer(loop, new OperatorCommands());
+        deadlineWatchdog = new DeadlineWatchdog(loop, machineClock, pendingMessages::values, this::endOverdue);
         discovery = new Discovery(loop, new AgentClient(loop, agentAddress), new EndpointListUpdates());
         handover = new ProcessHandover(loop, config.stateFolder(), handoverAllowed, new HandoverEvents());
         clientListener = new RetryingListener(loop, "clients", () -> clientServer.listen(config.clientAddress()));
@@ -226,24 +233,22 @@
         handover.start();
         discovery.start(config.file());
         operatorListener.ifPresent(RetryingListener::start);
-        loop.scheduleWithFixedDelay(this::checkOverdue, OVERDUE_CHECK_INTERVAL_MS, OVERDUE_CHECK_INTERVAL_MS,
-                TimeUnit.MILLISECONDS);
     }
 
     /**
-     * Reports each message that still has no final result when its deadline has passed by {@link #OVERDUE_GRACE_MS},
-     * which is a bug.
+     * Gives a message its final result that has none after its deadline, because the decision module has lost it by a
+     * bug: it is rejected if it never ran.
      */
-    private void checkOverdue() {
-        for (AcceptedMessage message : pendingMessages.values()) {
-            if (message.acknowledged && !message.reportedOverdue
-                    && message.timeLeftMs(machineClock) < -OVERDUE_GRACE_MS) {
-                message.reportedOverdue = true;
-                invariants.reportBreach(Invariants.Rule.END_IN_TIME, message.id, message.attempts.size()
-                        + " attempts, no final result " + (long) -message.timeLeftMs(machineClock)
-                        + " ms after the deadline");
-            }
+    private void endOverdue(AcceptedMessage message) {
+        if (!message.acknowledged) {
+            return;
         }
+        invariants.reportBreach(Invariants.Rule.END_IN_TIME, message.id, message.attempts.size()
+                + " attempts, no final result " + (long) -message.timeLeftMs(machineClock) + " ms after the deadline");
+        callDecisionModule(() -> relay.messageCancelled(currentTurnTimeMs(), message.number));
+        boolean neverRan = !message.mayHaveRun();
+        completeWithNotice(message, neverRan ? Metrics.Completion.REJECTED : Metrics.Completion.FAILED,
+                new AcceptedMessage.Notice(neverRan, 0));
     }
 
     /**
@@ -256,7 +261,7 @@
             return;
         }
         ready = true;
-        callDecisionModule(this::restoreFromJournal);
+        restoreFromJournal();
     }
 
     /**
@@ -290,7 +295,7 @@
     private void restoreFromJournal() {
         int restored = 0;
         Collection<AcceptedMessage> messages = journal.liveMessages();
-        receivedState.ifPresent(this::restoreHandoverState);
+        receivedState.ifPresent(state -> callDecisionModule(() -> restoreHandoverState(state)));
         Map<AttemptId, Long> predecessorCallIds = new HashMap<>();
         receivedState.filter(state -> handover.hasPredecessor()).ifPresent(state ->
                 state.out().forEach(attempt ->
@@ -299,8 +304,8 @@
         journal.endpointHealth().forEach((id, health) -> {
             double nowMs = currentTurnTimeMs();
             double sinceMs = nowMs - health.ageMs(machineClock);
-            relay.restoreEndpointHealth(nowMs, registry.getOrAssignNumber(id),
-                    new Relay.EndpointHealth(health.state(), sinceMs, health.sustainedPerMs()));
+            callDecisionModule(() -> relay.restoreEndpointHealth(nowMs, registry.getOrAssignNumber(id),
+                    new Relay.EndpointHealth(health.state(), sinceMs, health.sustainedPerMs())));
         });
         for (AcceptedMessage message : messages) {
             int messageClass = config.classNames().indexOf(message.messageClass);
@@ -330,10 +335,11 @@
             pendingMessages.put(message.number, message);
             pendingMessagesById.put(message.id, message);
             message.acknowledged = true;
+            deadlineWatchdog.messageAdded(message);
             restored++;
             trace.step("resumed", message.id, (long) message.timeLeftMs(machineClock), message.attempts.size());
-            relay.messageRestored(nowMs, toRelayMessage(message, messageClass, message.timeLeftMs(machineClock)),
-                    earlierAttempts);
+            callDecisionModule(() -> relay.messageRestored(nowMs,
+                    toRelayMessage(message, messageClass, message.timeLeftMs(machineClock)), earlierAttempts));
         }
         messages.stream().filter(message -> !message.finished && !pendingMessages.containsKey(message.number))
                 .forEach(message -> invariants.reportBreach(Invariants.Rule.HELD_TAKEN_UP, message.id,
@@ -386,14 +392,16 @@
         turnOpen = false;
     }
 
-    /** Logs an exception of the decision module. */
-    private static void logModuleFault(RuntimeException fault) {
-        Log.write("fault in the module: " + fault + " at " + List.of(fault.getStackTrace()).stream().limit(5).toList());
+    /** Counts and logs an exception of the decision module, which is a bug. */
+    private void reportModuleFault(RuntimeException fault) {
+        invariants.reportBreach(Invariants.Rule.NO_MODULE_FAULT, "-",
+                "fault in the module: " + fault + " at " + List.of(fault.getStackTrace()).stream().limit(5).toList());
     }
 
     /**
-     * Calls the decision module, unless this process has handed over. An exception is logged and not rethrown, so that
-     * a bug in handling one message does not affect the others.
+     * Calls the decision module, unless this process has handed over. An exception is reported and not rethrown, so that
+     * a bug in handling one message does not affect the others; {@link DeadlineWatchdog} sees to a message that the
+     * module has lost by it. Another turn follows soon, as the module may have missed to request a wake-up.
      */
     private void callDecisionModule(Runnable call) {
         if (handedOver) {
@@ -402,16 +410,38 @@
         try {
             call.run();
         } catch (RuntimeException fault) {
-            logModuleFault(fault);
+            reportModuleFault(fault);
+            loop.schedule(this::wake, WAKE_AFTER_FAULT_MS, TimeUnit.MILLISECONDS);
         }
     }
 
+    private void wake() {
+        callDecisionModule(() -> relay.wake(currentTurnTimeMs()));
+    }
+
     // ---- actions that the decision module asks for ----
 
+    /**
+     * Starts an attempt, which gets a result in any case: if an exception leaves open how far it came, it counts as one
+     * that may have run.
+     */
     @Override
     public void send(long messageNumber, long endpoint, double timeoutMs) {
         AcceptedMessage message = pendingMessages.get(messageNumber);
         int attemptNumber = message.attempts.size();
+        try {
+            startAttempt(message, attemptNumber, endpoint, timeoutMs);
+        } catch (RuntimeException fault) {
+            reportModuleFault(fault);
+            boolean recorded = message.attempts.size() > attemptNumber;
+            if (!recorded) {
+                message.attempts.add(AcceptedMessage.Attempt.neverSent("", machineClock));
+            }
+            completeLater(message, attemptNumber, recorded ? Relay.Outcome.BROKEN : Relay.Outcome.NOT_SENT);
+        }
+    }
+
+    private void startAttempt(AcceptedMessage message, int attemptNumber, long endpoint, double timeoutMs) {
         if (isOver(message, Invariants.Rule.NOT_SENT_AFTER_END)) {
             metrics.attemptSuppressed(SendGuard.SuppressionReason.MESSAGE_OVER);
             endUnsent(message, attemptNumber, registry.id(endpoint));
@@ -430,20 +460,23 @@
             journal.recordAttempt(message, attempt);
         } catch (IOException e) {
             // Without a record in the journal the message could run twice after a restart, so the attempt is not made.
-            loop.execute(() -> processAttemptResult(message, attemptNumber, Relay.Outcome.NOT_SENT, false, 0,
-                    Relay.LoadReport.NONE, 0));
+            completeLater(message, attemptNumber, Relay.Outcome.NOT_SENT);
             return;
         }
         trace.step("attempt", message.id, attemptNumber, attempt.endpoint);
-        attemptsInFlight.put(new AttemptId(messageNumber, attemptNumber),
+        attemptsInFlight.put(new AttemptId(message.number, attemptNumber),
                 endpointClient.startAttempt(message, attemptNumber, endpoint, timeoutMs,
                         startNanos + (long) (turnTimeMs * 1e6)));
     }
 
     private void endUnsent(AcceptedMessage message, int attemptNumber, String endpoint) {
         message.attempts.add(AcceptedMessage.Attempt.neverSent(endpoint, machineClock));
-        loop.execute(() -> processAttemptResult(message, attemptNumber, Relay.Outcome.NOT_SENT, false, 0,
-                Relay.LoadReport.NONE, 0));
+        completeLater(message, attemptNumber, Relay.Outcome.NOT_SENT);
+    }
+
+    /** Completes an attempt without a call; deferred, since the decision module must not be called from an action. */
+    private void completeLater(AcceptedMessage message, int attemptNumber, Relay.Outcome outcome) {
+        loop.execute(() -> processAttemptResult(message, attemptNumber, outcome, false, 0, Relay.LoadReport.NONE, 0));
     }
 
     @Override
@@ -476,8 +509,7 @@
     @Override
     public void wakeAt(double timeMs) {
         long delayNanos = (long) (timeMs * 1e6) - (machineClock.nanos() - startNanos);
-        loop.schedule(() -> callDecisionModule(() -> relay.wake(currentTurnTimeMs())), Math.max(0, delayNanos),
-                TimeUnit.NANOSECONDS);
+        loop.schedule(this::wake, Math.max(0, delayNanos), TimeUnit.NANOSECONDS);
     }
 
     @Override
@@ -534,11 +566,10 @@
             journal.recordCompleted(message);
             return;
         }
-        metrics.messageCompleted(message.messageClass, completion);
         trace.step(notice.rejected() ? "refused" : "failed", message.id, message.attempts.size());
         finishMessage(message);
-        journal.recordNotice(message, notice);
-        noticeClient.enqueue(message);
+        FaultCollector.runAll(() -> journal.recordNotice(message, notice), () -> noticeClient.enqueue(message),
+                () -> metrics.messageCompleted(message.messageClass, completion));
     }
 
     // ---- events for the decision module ----
@@ -605,14 +636,22 @@
             Optional<SendGuard.SuppressionReason> reason = handedOver
                     ? Optional.of(SendGuard.SuppressionReason.HANDED_OVER)
                     : sendGuard.suppressionReason(attempt.message, attempt.attemptNumber,
-                            relay.sendAllowed(nowMs(), attempt.endpoint()),
-                            machineClock.nanos());
+                            moduleAllowsSend(attempt.endpoint()), machineClock.nanos());
             reason.ifPresent(metrics::attemptSuppressed);
             trace.step(reason.map(r -> "heldback:" + r).orElse("write"), attempt.message.id, attempt.attemptNumber);
             return reason.isEmpty();
         }
     }
 
+    private boolean moduleAllowsSend(long endpoint) {
+        try {
+            return relay.sendAllowed(nowMs(), endpoint);
+        } catch (RuntimeException fault) {
+            reportModuleFault(fault);
+            return false;
+        }
+    }
+
     /**
      * Reports a Retry-After wait. It starts now, possibly later than the turn's time, so the difference is added to it.
      */
@@ -848,6 +887,7 @@
                 return;
             }
             message.acknowledged = success;
+            deadlineWatchdog.messageAdded(message);
             trace.step(success ? "answered" : "unheard", message.id);
             if (!success) {
                 // Without a 202 the client does not count the message as accepted: it submits it again, and this
@@ -902,7 +942,7 @@
 
         @Override
         public ProcessHandover.HandoverState handoverState() {
-            Relay.LearnedState learnedState = relay.learnedState(currentTurnTimeMs());
+            Relay.LearnedState learnedState = learnedState();
             List<ProcessHandover.InFlightAttempt> inFlight = new ArrayList<>();
             attemptsInFlight.forEach((id, attempt) -> inFlight.add(
                     new ProcessHandover.InFlightAttempt(id.messageNumber(), id.attempt(), attempt.callId())));
@@ -911,6 +951,16 @@
                     learnedState);
         }
 
+        /** What the decision module has learned; nothing if it throws, as the successor needs the messages most. */
+        private Relay.LearnedState learnedState() {
+            try {
+                return relay.learnedState(currentTurnTimeMs());
+            } catch (RuntimeException fault) {
+                reportModuleFault(fault);
+                return new Relay.LearnedState(List.of(), List.of(), List.of(), List.of());
+            }
+        }
+
         @Override
         public void successorListening() {
             // Deferred until the event loop has handled the I/O events at hand, so that connections already waiting are
--- a/src/main/java/kestreldeal/scale/fleet/FleetSimulation.java
+++ b/src/main/java/kestreldeal/scale/fleet/FleetSimulation.java
@@ -21,7 +21,7 @@
     private static final int MAX_ENDPOINTS_PER_DESTINATION = 4;
 
     private final FleetSettings settings;
-    private final RelayFactory relayFactory;
+    private final Relay.Factory relayFactory;
     private final Relay.Settings relaySettings;
     private final int maxPending;
     private final SimulationClock clock = new SimulationClock();
@@ -37,16 +37,11 @@
     private final Map<Long, SimulatedEndpoint> endpoints = new LinkedHashMap<>();
     private final List<SimulatedSender> senders = new ArrayList<>();
 
-    /** Creates instances of the decision module; tests use it to make them break a rule. */
-    interface RelayFactory {
-        Relay create(Relay.Settings settings, long seed, Relay.Actions actions);
-    }
-
     FleetSimulation(FleetSettings settings) {
         this(settings, Relay::create);
     }
 
-    FleetSimulation(FleetSettings settings, RelayFactory relayFactory) {
+    FleetSimulation(FleetSettings settings, Relay.Factory relayFactory) {
         this.settings = settings;
         this.relayFactory = relayFactory;
         FleetModel model = settings.model();
--- a/src/test/java/kestreldeal/scale/fleet/ForwardingRelay.java
+++ b/src/test/java/kestreldeal/ForwardingRelay.java
@@ -1,13 +1,13 @@
-package kestreldeal.scale.fleet;
+package kestreldeal;
 
 import java.util.List;
-import kestreldeal.Relay;
 
 /** Forwards all events to the real decision module; tests override methods to change or drop some of them. */
-class ForwardingRelay implements Relay {
+public class ForwardingRelay implements Relay {
     private final Relay delegate;
 
-    ForwardingRelay(Relay delegate) {
+    /** Forwards to this instance. */
+    public ForwardingRelay(Relay delegate) {
         this.delegate = delegate;
     }
 
@@ -87,10 +87,11 @@
     }
 
     /** Forwards all actions of the module; tests override methods to drop or repeat some of them. */
-    static class ForwardingActions implements Actions {
+    public static class ForwardingActions implements Actions {
         private final Actions delegate;
 
-        ForwardingActions(Actions delegate) {
+        /** Forwards to these actions. */
+        public ForwardingActions(Actions delegate) {
             this.delegate = delegate;
         }
 
--- a/src/test/java/kestreldeal/net/RemovedEndpointOutageTest.java
+++ b/src/test/java/kestreldeal/net/RemovedEndpointOutageTest.java
@@ -50,8 +50,7 @@
 
     private void submit(String id, int budgetMs) {
         assertEquals(202, SenderTestEnvironment.requestStatus(address,
-                SenderTestEnvironment.submitRequest(id, "order", 0, "").replace("X-Budget-Ms: 24000",
-                        "X-Budget-Ms: " + budgetMs)));
+                SenderTestEnvironment.submitRequest(id, "order", 0, "", budgetMs)));
     }
 
     private boolean wasCalled(String id) {
--- a/src/test/java/kestreldeal/net/SenderTestEnvironment.java
+++ b/src/test/java/kestreldeal/net/SenderTestEnvironment.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Function;
+import kestreldeal.Relay;
 
 /**
  * The environment of one sender on loopback sockets: its folder and configuration, an agent, and endpoints. Each
@@ -132,6 +133,12 @@
         return new Sender(Config.read(environment()), false, Sender.DRAIN_ACCEPT_MS, Sender.DRAIN_TIMEOUT_MS, clock);
     }
 
+    /** Creates a sender with its own decision module. */
+    Sender createSender(Relay.Factory relayFactory) throws Exception {
+        return new Sender(Config.read(environment()), false, Sender.DRAIN_ACCEPT_MS, Sender.DRAIN_TIMEOUT_MS,
+                MachineClock.system(), relayFactory);
+    }
+
     /** Starts the program as a process with a limit on file descriptors; its output goes to the log file. */
     Process startProcess(int descriptorLimit, String... jvmOptions) throws IOException {
         List<String> command = new ArrayList<>(List.of("sh", "-c",
@@ -185,8 +192,13 @@
     }
 
     static String submitRequest(String id, String messageClass, long destination, String body) {
+        return submitRequest(id, messageClass, destination, body, 24_000);
+    }
+
+    static String submitRequest(String id, String messageClass, long destination, String body, int budgetMs) {
         return "POST /" + messageClass + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Call-Class: "
-                + messageClass + "\r\nX-Budget-Ms: 24000\r\nIdempotency-Key: key-" + id + "\r\nX-Envelope: dest="
+                + messageClass + "\r\nX-Budget-Ms: " + budgetMs + "\r\nIdempotency-Key: key-" + id
+                + "\r\nX-Envelope: dest="
                 + destination + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
--- a/src/test/java/kestreldeal/scale/fleet/InvariantCheckerTest.java
+++ b/src/test/java/kestreldeal/scale/fleet/InvariantCheckerTest.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import kestreldeal.ForwardingRelay;
 import kestreldeal.Relay;
 import org.junit.jupiter.api.Test;
 
@@ -23,7 +24,7 @@
         return new FleetSimulation(settings(scenario)).run((nowMs, eventCount) -> { });
     }
 
-    private static void expectViolation(Scenario scenario, FleetSimulation.RelayFactory relayFactory,
+    private static void expectViolation(Scenario scenario, Relay.Factory relayFactory,
             String expectedText) {
         FleetSimulation fleet = new FleetSimulation(settings(scenario), relayFactory);
         InvariantViolationException violation = assertThrows(InvariantViolationException.class,
@@ -146,7 +147,7 @@
     /** Each sender assumes that it is the only one, and that the load budget of a recovery is far higher than it is. */
     @Test
     void tooManyCallsInARecoveryAreCountedAndCauseACollapse() {
-        FleetSimulation.RelayFactory overloadingFactory = (settings, seed, actions) ->
+        Relay.Factory overloadingFactory = (settings, seed, actions) ->
                 Relay.create(new Relay.Settings(settings.classes(), settings.kinds(), settings.ratesListed(),
                         settings.valueDecay(), settings.zoneFees(), 1, settings.slotCount(), settings.maxAttempts(),
                         settings.hedging(), settings.cancellation(), settings.keyCoolDownMs(), settings.keepAliveMs(),
