Listed endpoints that are never called share one latency estimate, and need no flag

Change: the estimate is a value, and all endpoints without a delivery share the initial one; the registry keeps a set of the unlisted ones only.

--- a/src/main/java/kestreldeal/DeliveryScheduler.java
+++ b/src/main/java/kestreldeal/DeliveryScheduler.java
@@ -1121,7 +1121,7 @@
         Call latestCall;
         /** Its calls in flight, in the order in which they were sent. */
         final List<Call> calls = new ArrayList<>(0);
-        final LatencyEstimate latency = new LatencyEstimate();
+        LatencyEstimate latency = LatencyEstimate.INITIAL;
         double failureScore;
         int overdueCalls;
         int slotCancellations;
@@ -1158,7 +1158,7 @@
         void restore(LearnedEndpointState learned) {
             limiter.restore(learned);
             sustainedRate.restore(learned.carried());
-            latency.restore(learned.latencyMs(), learned.deviationMs());
+            latency = new LatencyEstimate(learned.latencyMs(), learned.deviationMs());
             lastDeliveryAt = clock - learned.goodAgoMs();
         }
 
@@ -1334,11 +1334,11 @@
             slotCancellations = 0;
             consecutiveFailures = 0;
             lastDeliveryAt = clock;
-            latency.addSample(result.durationMs());
+            latency = latency.withSample(result.durationMs());
             if (state == EndpointState.UP) {
                 sustainedRate.addEvent(clock);
             } else if (state == EndpointState.DOWN && limiter.isRecovering()) {
-                latency.restartMean(result.durationMs());
+                latency = latency.withMean(result.durationMs());
                 startSlowStart();
             } else if (state == EndpointState.DOWN && downByOverdueCalls && call.sentAt < downAt
                     && result.durationMs() < MIN_OUTAGE_MS) {
@@ -1346,7 +1346,7 @@
             } else if (state == EndpointState.DOWN && briefFailure) {
                 markUp("failed only briefly, is up again");
             } else if (state == EndpointState.DOWN) {
-                latency.restartMean(result.durationMs());
+                latency = latency.withMean(result.durationMs());
                 startSlowStart();
             }
             limiter.adjustRate(result.report().left());
--- a/src/main/java/kestreldeal/LatencyEstimate.java
+++ b/src/main/java/kestreldeal/LatencyEstimate.java
@@ -1,7 +1,10 @@
 package kestreldeal;
 
-/** Mean latency of an endpoint's deliveries and its mean absolute deviation, as moving averages in milliseconds. */
-final class LatencyEstimate {
+/**
+ * Mean latency of an endpoint's deliveries and its mean absolute deviation, as moving averages in milliseconds. The
+ * estimates are values, as most endpoints of a long list are never called and share the initial one.
+ */
+record LatencyEstimate(double mean, double deviation) {
     private static final double SAMPLE_WEIGHT = 0.15;
     private static final double INITIAL_MS = 250;
     /** An endpoint with a mean latency up to this counts as fast: it frees its slots soon. */
@@ -9,30 +12,17 @@
     private static final double OVERDUE_DEVIATION_FACTOR = 4;
     private static final double SLOWEST_DEVIATION_FACTOR = 8;
 
-    private double mean = INITIAL_MS;
-    private double deviation = INITIAL_MS / 2;
+    /** The estimate for an endpoint without a delivery. */
+    static final LatencyEstimate INITIAL = new LatencyEstimate(INITIAL_MS, INITIAL_MS / 2);
 
-    double mean() {
-        return mean;
-    }
-
-    double deviation() {
-        return deviation;
-    }
-
-    void restore(double meanMs, double deviationMs) {
-        mean = meanMs;
-        deviation = deviationMs;
-    }
-
-    void addSample(double latencyMs) {
-        deviation += SAMPLE_WEIGHT * (Math.abs(latencyMs - mean) - deviation);
-        mean += SAMPLE_WEIGHT * (latencyMs - mean);
+    LatencyEstimate withSample(double latencyMs) {
+        return new LatencyEstimate(mean + SAMPLE_WEIGHT * (latencyMs - mean),
+                deviation + SAMPLE_WEIGHT * (Math.abs(latencyMs - mean) - deviation));
     }
 
     /** Starts the mean again, as the latency after an outage says more than that before it. */
-    void restartMean(double latencyMs) {
-        mean = latencyMs;
+    LatencyEstimate withMean(double latencyMs) {
+        return new LatencyEstimate(latencyMs, deviation);
     }
 
     boolean isFast() {
--- a/src/main/java/kestreldeal/net/EndpointRegistry.java
+++ b/src/main/java/kestreldeal/net/EndpointRegistry.java
@@ -4,10 +4,12 @@
 import io.netty.util.collection.LongObjectMap;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * Maps the ids that endpoints have on the list to the numbers by which the decision module knows them, and records
@@ -22,7 +24,6 @@
         private final long number;
         /** The last update that named it, as counted by {@link EndpointRegistry#updateCount}. */
         private int lastUpdate = -1;
-        private boolean listed;
         private Destination destination;
 
         private RegisteredEndpoint(String id, long number) {
@@ -61,6 +62,7 @@
     private final Map<String, RegisteredEndpoint> byId = new HashMap<>();
     private final LongObjectMap<RegisteredEndpoint> byNumber = new LongObjectHashMap<>();
     private final LongObjectMap<Destination> destinations = new LongObjectHashMap<>();
+    private final Set<RegisteredEndpoint> unlisted = new HashSet<>();
     private final int maxEndpoints;
     private long nextNumber;
     private int updateCount;
@@ -82,6 +84,7 @@
             endpoint = new RegisteredEndpoint(id, nextNumber++);
             byId.put(id, endpoint);
             byNumber.put(endpoint.number, endpoint);
+            unlisted.add(endpoint);
         }
         return endpoint;
     }
@@ -142,7 +145,7 @@
             return Optional.empty();
         }
         byId.remove(endpoint.id);
-        endpoint.listed = false;
+        unlisted.add(endpoint);
         return Optional.of(endpoint);
     }
 
@@ -163,7 +166,11 @@
         if (!entry.removed() || endpoint.destination == null) {
             endpoint.destination = destination;
         }
-        endpoint.listed = !entry.removed();
+        if (entry.removed()) {
+            unlisted.add(endpoint);
+        } else {
+            unlisted.remove(endpoint);
+        }
         return OptionalLong.of(endpoint.number);
     }
 
@@ -174,8 +181,7 @@
     List<RegisteredEndpoint> markUnnamedRemoved() {
         List<RegisteredEndpoint> newlyRemoved = new ArrayList<>();
         for (RegisteredEndpoint endpoint : byId.values()) {
-            if (endpoint.lastUpdate != updateCount && endpoint.listed) {
-                endpoint.listed = false;
+            if (endpoint.lastUpdate != updateCount && unlisted.add(endpoint)) {
                 newlyRemoved.add(endpoint);
             }
         }
@@ -185,6 +191,7 @@
     /** Forgets an endpoint, and returns its id if it still had that. Its number is never used again. */
     Optional<String> forget(long number) {
         RegisteredEndpoint endpoint = byNumber.remove(number);
+        unlisted.remove(endpoint);
         boolean hadId = endpoint != null && byId.remove(endpoint.id, endpoint);
         return hadId ? Optional.of(endpoint.id) : Optional.empty();
     }
