A connection rests for a share of the endpoint's response time before its next call

Cause: EndpointClient used a connection again 10 ms after a response, wherever the endpoint was. The copy came into the next call, and shifted the later answers of its connection by one. Change: it rests for 0.6 of the fastest response time, 10 to 100 ms (ReuseDelay), learned from first calls on connections, which no copy can have answered. What comes meanwhile closes the connection, as before. Why it works: two packets part by at most 0.68 one-way delays at the site's jitter, and a response takes at least 1.32. A check of answers that come too early was ruled out: a quick answer after slow ones would be taken for a copy, and a 200 that was read be sent again. Test: EndpointClientTest.connectionRestsForAShareOfTheFastestResponseTime, seen failing before (idle after 114 ms, not 160).

--- a/src/main/java/kestreldeal/net/EndpointClient.java
+++ b/src/main/java/kestreldeal/net/EndpointClient.java
@@ -58,11 +58,6 @@
     private static final int MAX_BODY_BYTES = 64 * 1024;
     /** Time limit from the first to the last byte of a response; one that takes longer counts as malformed. */
     private static final long RESPONSE_READ_TIMEOUT_MS = 1000;
-    /**
-     * Delay before a connection is reused. Unexpected bytes that follow a response arrive in this time, and are not
-     * taken for the response to the next call.
-     */
-    private static final long REUSE_DELAY_MS = 10;
     /** A line in the response to a batch: a message id and the result for that message. */
     private static final Pattern BATCH_RESULT_LINE =
             Pattern.compile("([!-~]+) (accepted|fault|deferred|expired|no_more)");
@@ -134,6 +129,11 @@
     private final long maxIdleNanos;
     private final int maxIdleConnections;
     private final LongObjectMap<Peer> peers = new LongObjectHashMap<>();
+    /**
+     * By endpoint, the shortest time in milliseconds from the write of a call to its response, of first calls on
+     * connections: only these can't have been answered by what an earlier response brought along.
+     */
+    private final LongObjectMap<Double> fastestResponses = new LongObjectHashMap<>();
     /** The few peers that have idle connections, so that the sweep need not visit all listed endpoints. */
     private final Set<Peer> peersWithIdleConnections = new LinkedHashSet<>();
     private final IdleConnectionPolicy idlePolicy = new IdleConnectionPolicy();
@@ -169,9 +169,13 @@
      */
     void updateEndpoint(long endpoint, InetSocketAddress address, boolean serving, int maxBatchSize) {
         Peer peer = peers.computeIfAbsent(endpoint, Peer::new);
-        if (!serving || !address.equals(peer.address)) {
+        boolean moved = !address.equals(peer.address);
+        if (!serving || moved) {
             closeIdleConnections(endpoint);
         }
+        if (moved) {
+            fastestResponses.remove(endpoint);
+        }
         peer.address = address;
         peer.maxBatchSize = maxBatchSize;
     }
@@ -179,6 +183,7 @@
     /** Removes an endpoint: closes its idle connections now, and those of calls in flight when these complete. */
     void removeEndpoint(long endpoint) {
         closeIdleConnections(endpoint);
+        fastestResponses.remove(endpoint);
         Peer peer = peers.remove(endpoint);
         if (peer != null) {
             peer.address = null;
@@ -803,6 +808,7 @@
         private long idleSinceNanos;
         /** How long it was idle before its current call; -1 for a fresh connection. */
         private long idleBeforeCallMs;
+        private long callBegunNanos;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -819,6 +825,7 @@
             call = newCall;
             idleBeforeCallMs = fresh ? -1 : idleMs();
             fresh = false;
+            callBegunNanos = System.nanoTime();
             head = null;
             statusLineRead = false;
             headRead = false;
@@ -830,6 +837,9 @@
         private void responseBegins() {
             if (responseTimer == null) {
                 idlePolicy.recordUse(nowMs(), idleBeforeCallMs, false);
+                if (idleBeforeCallMs < 0) {
+                    fastestResponses.merge(peer.endpoint, (System.nanoTime() - callBegunNanos) / 1e6, Math::min);
+                }
                 responseTimer = loop.schedule(this::failMalformed, RESPONSE_READ_TIMEOUT_MS, TimeUnit.MILLISECONDS);
             }
         }
@@ -927,7 +937,8 @@
 
         /** Makes the connection available for reuse after a delay, unless unexpected bytes arrive before. */
         private void scheduleReuse() {
-            loop.schedule(this::makeIdle, REUSE_DELAY_MS, TimeUnit.MILLISECONDS);
+            double fastestMs = fastestResponses.getOrDefault(peer.endpoint, Double.POSITIVE_INFINITY);
+            loop.schedule(this::makeIdle, ReuseDelay.ofFastestResponse(fastestMs), TimeUnit.MILLISECONDS);
         }
 
         private void makeIdle() {
--- a/src/test/java/kestreldeal/net/EndpointClientTest.java
+++ b/src/test/java/kestreldeal/net/EndpointClientTest.java
@@ -995,6 +995,20 @@
         StubServer.await("the connection is idle", () -> idleConnectionCount() == 1);
     }
 
+    /** A second copy of a response came after the next call was written, and was taken for the response to that one. */
+    @Test
+    void connectionRestsForAShareOfTheFastestResponseTime() throws Exception {
+        long responseMs = 100;
+        stub.setScript((request, socket) -> {
+            Thread.sleep(responseMs);
+            StubServer.status(200, "").handle(request, socket);
+        });
+        start(new byte[1], LONG_TIMEOUT_MS);
+        StubServer.await("the connection is idle", () -> idleConnectionCount() == 1);
+        double idleAfterMs = (System.nanoTime() - stub.requests.get(0).receivedNanos()) / 1e6;
+        assertTrue(idleAfterMs >= responseMs * (1 + ReuseDelay.RESPONSE_TIME_SHARE), idleAfterMs + " ms");
+    }
+
     private int idleConnectionCount() {
         return loop.submit(() -> client.idleConnectionCount()).syncUninterruptibly().getNow();
     }
