--- a/src/test/java/kestreldeal/net/ModuleFaultTest.java
+++ b/src/test/java/kestreldeal/net/ModuleFaultTest.java
@@ -42,9 +42,7 @@
 
     private void start(Relay.Factory module) throws Exception {
         sender = environment.createSender(module);
-        address = sender.startAndAwaitListening();
-        StubServer.await("the sender is ready",
-                () -> SenderTestEnvironment.requestStatus(address, SenderTestEnvironment.HEALTH) == 200);
+        address = SenderTestEnvironment.startAndAwaitReady(sender);
     }
 
     private void submit(String id, String messageClass) {
--- a/src/test/java/kestreldeal/net/RelistedEndpointTest.java
+++ b/src/test/java/kestreldeal/net/RelistedEndpointTest.java
@@ -30,9 +30,7 @@
         endpoint = new StubServer(StubServer.status(200, ""));
         environment = new SenderTestEnvironment(folder, endpoint);
         sender = environment.createSender();
-        address = sender.startAndAwaitListening();
-        StubServer.await("the sender is ready",
-                () -> SenderTestEnvironment.requestStatus(address, SenderTestEnvironment.HEALTH) == 200);
+        address = SenderTestEnvironment.startAndAwaitReady(sender);
     }
 
     @AfterEach
--- a/src/test/java/kestreldeal/net/RemovedEndpointOutageTest.java
+++ b/src/test/java/kestreldeal/net/RemovedEndpointOutageTest.java
@@ -35,9 +35,7 @@
 
     private void start() throws Exception {
         sender = environment.createSender(clock);
-        address = sender.startAndAwaitListening();
-        StubServer.await("the sender is ready",
-                () -> SenderTestEnvironment.requestStatus(address, SenderTestEnvironment.HEALTH) == 200);
+        address = SenderTestEnvironment.startAndAwaitReady(sender);
         discovery.change(discovery.entry("staying", "SERVING"), discovery.entry("leaving", "SERVING"));
     }
 
--- a/src/test/java/kestreldeal/net/SenderTestEnvironment.java
+++ b/src/test/java/kestreldeal/net/SenderTestEnvironment.java
@@ -139,6 +139,13 @@
                 MachineClock.system(), relayFactory);
     }
 
+    /** Starts a sender and waits until it accepts messages; returns the address for its clients. */
+    static InetSocketAddress startAndAwaitReady(Sender sender) throws InterruptedException {
+        InetSocketAddress address = sender.startAndAwaitListening();
+        StubServer.await("the sender is ready", () -> requestStatus(address, HEALTH) == 200);
+        return address;
+    }
+
     /** Starts the program as a process with a limit on file descriptors; its output goes to the log file. */
     Process startProcess(int descriptorLimit, String... jvmOptions) throws IOException {
         List<String> command = new ArrayList<>(List.of("sh", "-c",
