DeadlineWatchdog has one timer, so its two checks of a message are apart

What callers could see: after a standstill of the event loop around a deadline, a message was ended by the watchdog, perhaps as failed, before its answer was read or the module's own timer ran. Cause: a check at an earlier message's time scheduled the next one again while the first timer for the same time was still pending, and both took themselves for the current one; the second counted as the second check at once. Found in reading. Change: the watchdog keeps the one scheduled check, and cancels it when an earlier one replaces it. Test: DeadlineWatchdogTest, seen failing before ("found at one check only": expected [], was [later]).

--- a/src/main/java/kestreldeal/net/DeadlineWatchdog.java
+++ b/src/main/java/kestreldeal/net/DeadlineWatchdog.java
@@ -1,8 +1,10 @@
 package kestreldeal.net;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -22,9 +24,9 @@
     private final MachineClock clock;
     private final Supplier<Collection<AcceptedMessage>> pendingMessages;
     private final Consumer<AcceptedMessage> overdueListener;
-    /** The time of the next check by {@link MachineClock#nanos}, if one is scheduled. */
+    /** The only check that is scheduled, if any, and its time by {@link MachineClock#nanos}. */
+    private Optional<Future<?>> nextCheck = Optional.empty();
     private long nextCheckNanos;
-    private boolean scheduled;
 
     /** The listener has to complete each message that it gets. */
     DeadlineWatchdog(EventLoop loop, MachineClock clock, Supplier<Collection<AcceptedMessage>> pendingMessages,
@@ -41,22 +43,17 @@
     }
 
     private void schedule(long checkNanos) {
-        if (scheduled && nextCheckNanos <= checkNanos) {
+        if (nextCheck.isPresent() && nextCheckNanos <= checkNanos) {
             return;
         }
+        nextCheck.ifPresent(later -> later.cancel(false));
         long delayNanos = Math.max(checkNanos - clock.nanos(), TimeUnit.MILLISECONDS.toNanos(MIN_INTERVAL_MS));
-        scheduled = true;
         nextCheckNanos = checkNanos;
-        loop.schedule(() -> {
-            // A check that was scheduled for an earlier time has replaced this one.
-            if (nextCheckNanos == checkNanos) {
-                check();
-            }
-        }, delayNanos, TimeUnit.NANOSECONDS);
+        nextCheck = Optional.of(loop.schedule(this::check, delayNanos, TimeUnit.NANOSECONDS));
     }
 
     private void check() {
-        scheduled = false;
+        nextCheck = Optional.empty();
         for (AcceptedMessage message : List.copyOf(pendingMessages.get())) {
             if (message.timeLeftMs(clock) > -GRACE_MS || !message.overdue) {
                 message.overdue = message.timeLeftMs(clock) <= -GRACE_MS;
